--- /dev/null
+++ b/cmd/tamarackbarrow/main.go
@@ -0,0 +1,12 @@
+// Command tamarackbarrow runs a daemon and is the operators' tool.
+package main
+
+import (
+	"os"
+
+	"tamarackbarrow/io/tbcommand"
+)
+
+func main() {
+	os.Exit(tbcommand.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/cmd/tbbench/main.go
@@ -0,0 +1,89 @@
+// Command tbbench measures deployments of tamarackbarrow with stand-ins.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"tamarackbarrow/io/tbscenario"
+)
+
+// Exit statuses.
+const (
+	exitMissed = 1
+	exitFailed = 2
+)
+
+func main() {
+	app := kingpin.New("tbbench", "Measures deployments of tamarackbarrow with stand-ins.")
+	app.HelpFlag.Short('h')
+	list := app.Command("list", "List the scenarios.")
+	run := app.Command("run", "Run scenarios; exit status 1 when a bound is missed.")
+	names := run.Arg("scenario", "Scenario names.").Required().Strings()
+	seed := run.Flag("seed", "Seed of all random choices.").Default("1").Uint64()
+	asJSON := run.Flag("json", "Print JSON.").Bool()
+	binary := run.Flag("binary", "Path of the tamarackbarrow program.").Default(besideThis("tamarackbarrow")).String()
+	keep := run.Flag("keep", "Keep settings, data and logs in this folder.").String()
+	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
+	case list.FullCommand():
+		for _, s := range tbscenario.All() {
+			fmt.Printf("%-12s %s\n", s.Name, s.About)
+		}
+	case run.FullCommand():
+		os.Exit(runAll(*names, tbscenario.Env{Binary: *binary, Folder: *keep, Seed: *seed}, *asJSON))
+	}
+}
+
+// besideThis returns the path of a program in the folder of this one.
+func besideThis(name string) string {
+	self, err := os.Executable()
+	if err != nil {
+		return name
+	}
+	return filepath.Join(filepath.Dir(self), name)
+}
+
+func runAll(names []string, env tbscenario.Env, asJSON bool) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	status := 0
+	for _, name := range names {
+		status = max(status, runOne(ctx, name, env, asJSON))
+	}
+	return status
+}
+
+func runOne(ctx context.Context, name string, env tbscenario.Env, asJSON bool) int {
+	if env.Folder == "" {
+		folder, err := os.MkdirTemp("", "tbbench-")
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return exitFailed
+		}
+		defer os.RemoveAll(folder)
+		env.Folder = folder
+	}
+	report, err := tbscenario.Run(ctx, name, env)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "scenario %s could not be measured: %v\n", name, err)
+		return exitFailed
+	}
+	write := report.WriteTable
+	if asJSON {
+		write = report.WriteJSON
+	}
+	if err := write(os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	if !report.Met() {
+		return exitMissed
+	}
+	return 0
+}
--- /dev/null
+++ b/core/tbconsensus/log.go
@@ -0,0 +1,85 @@
+package tbconsensus
+
+import "fmt"
+
+// entryLog keeps the entries after the newest snapshot in memory.
+type entryLog struct {
+	snapshot Snapshot
+	entries  []Entry
+}
+
+func newEntryLog(snapshot Snapshot, entries []Entry) entryLog {
+	l := entryLog{snapshot: snapshot}
+	for _, e := range entries {
+		if e.Index > snapshot.Meta.Index {
+			l.entries = append(l.entries, e)
+		}
+	}
+	return l
+}
+
+func (l *entryLog) lastIndex() uint64 {
+	return l.snapshot.Meta.Index + uint64(len(l.entries))
+}
+
+func (l *entryLog) lastTerm() uint64 { return l.term(l.lastIndex()) }
+
+// term returns the term at index, or 0 where the log does not reach.
+func (l *entryLog) term(index uint64) uint64 {
+	first := l.snapshot.Meta.Index
+	switch {
+	case index == first:
+		return l.snapshot.Meta.Term
+	case index < first || index > l.lastIndex():
+		return 0
+	}
+	return l.entries[index-first-1].Term
+}
+
+// slice returns the entries from lo to hi, both included.
+func (l *entryLog) slice(lo, hi uint64) []Entry {
+	first := l.snapshot.Meta.Index
+	if lo <= first || hi > l.lastIndex() {
+		panic(fmt.Sprintf("log slice %d to %d is outside %d to %d", lo, hi, first+1, l.lastIndex()))
+	}
+	return l.entries[lo-first-1 : hi-first : hi-first]
+}
+
+// batch returns entries from lo on, up to maxBytes of data but at least one.
+func (l *entryLog) batch(lo uint64, maxBytes int) []Entry {
+	if lo > l.lastIndex() {
+		return nil
+	}
+	all := l.slice(lo, l.lastIndex())
+	size := 0
+	for i, e := range all {
+		size += len(e.Data)
+		if size > maxBytes && i > 0 {
+			return all[:i:i]
+		}
+	}
+	return all
+}
+
+func (l *entryLog) append(entries []Entry) {
+	l.entries = append(l.entries, entries...)
+}
+
+// truncate drops all entries from index on.
+func (l *entryLog) truncate(index uint64) {
+	keep := index - l.snapshot.Meta.Index - 1
+	l.entries = l.entries[:keep:keep]
+}
+
+// compact drops the entries that the snapshot stands for.
+func (l *entryLog) compact(s Snapshot) {
+	if s.Meta.Index <= l.snapshot.Meta.Index {
+		return
+	}
+	var rest []Entry
+	if s.Meta.Index < l.lastIndex() && l.term(s.Meta.Index) == s.Meta.Term {
+		rest = append(rest, l.slice(s.Meta.Index+1, l.lastIndex())...)
+	}
+	l.snapshot = s
+	l.entries = rest
+}
--- /dev/null
+++ b/core/tbconsensus/schedule_test.go
@@ -0,0 +1,374 @@
+package tbconsensus
+
+import (
+	"encoding/binary"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var (
+	schedules = flag.Int("schedules", 1000, "number of random schedules")
+	stepCount = flag.Int("steps", 500, "steps of each random schedule")
+	firstSeed = flag.Uint64("seed", 1, "seed of the first random schedule")
+)
+
+// maxStepMillis bounds how far one step of a schedule moves the clock.
+const maxStepMillis = 120
+
+// testDisk holds what a replica has synced.
+type testDisk struct {
+	hard     HardState
+	snapshot Snapshot
+	entries  []Entry
+}
+
+// save applies one output as the storage does, all or nothing.
+func (d *testDisk) save(out Output) {
+	if out.InstallSnapshot != nil {
+		d.snapshot = *out.InstallSnapshot
+		d.entries = nil
+	}
+	if len(out.Entries) > 0 {
+		d.entries = mergeEntries(d.entries, out.Entries)
+	}
+	if out.HardState != nil {
+		d.hard = *out.HardState
+	}
+}
+
+type testNode struct {
+	id      ReplicaID
+	replica *Replica
+	disk    testDisk
+	waiting []Output
+	// state is the concatenated data of all applied entries.
+	state    []byte
+	applied  uint64
+	isolated bool
+	down     bool
+}
+
+// testGroup runs a group of replicas by one seeded schedule.
+type testGroup struct {
+	t        *testing.T
+	rng      *rand.Rand
+	now      time.Time
+	nodes    []*testNode
+	network  []Message
+	initial  Membership
+	byIndex  map[uint64]string
+	leaders  map[uint64]ReplicaID
+	proposed uint64
+	seed     uint64
+	label    string
+	nextID   ReplicaID
+}
+
+func testConfig(id ReplicaID, seed uint64) Config {
+	return Config{
+		ID: id, ElectionTimeout: 1000 * time.Millisecond, HeartbeatInterval: 100 * time.Millisecond,
+		ClockRateBound: 0.01, MaxBatchBytes: 40, ChunkBytes: 16, Seed: seed,
+	}
+}
+
+func newTestGroup(t *testing.T, seed uint64, size int) *testGroup {
+	g := &testGroup{
+		t: t, now: time.Unix(1000, 0), byIndex: map[uint64]string{}, leaders: map[uint64]ReplicaID{},
+		rng: rand.New(rand.NewPCG(seed, 1)), seed: seed, nextID: ReplicaID(size + 1),
+	}
+	for i := 1; i <= size; i++ {
+		g.initial.Members = append(g.initial.Members, Member{ID: ReplicaID(i)})
+	}
+	for i := 1; i <= size; i++ {
+		n := &testNode{id: ReplicaID(i)}
+		g.nodes = append(g.nodes, n)
+		g.start(n, false)
+	}
+	return g
+}
+
+func (g *testGroup) start(n *testNode, join bool) {
+	g.seed++
+	cfg := testConfig(n.id, g.seed)
+	cfg.Join = join
+	n.replica = New(cfg, Restored{
+		HardState: n.disk.hard, Snapshot: n.disk.snapshot,
+		Entries: slices.Clone(n.disk.entries), Initial: g.initial,
+	}, g.now)
+	n.waiting = nil
+	n.down = false
+	n.state = slices.Clone(n.disk.snapshot.Data)
+	n.applied = n.disk.snapshot.Meta.Index
+}
+
+// collect takes a node's output, applies commits and queues the rest.
+func (g *testGroup) collect(n *testNode) {
+	out := n.replica.Take()
+	if s := out.InstallSnapshot; s != nil {
+		n.state = slices.Clone(s.Data)
+		n.applied = s.Meta.Index
+	}
+	for _, e := range out.Committed {
+		g.apply(n, e)
+	}
+	g.network = append(g.network, out.Send...)
+	n.waiting = append(n.waiting, out)
+	g.checkLeader(n)
+}
+
+func (g *testGroup) apply(n *testNode, e Entry) {
+	if e.Index != n.applied+1 {
+		g.t.Fatalf("%s: replica %d applied entry %d after %d", g.label, n.id, e.Index, n.applied)
+	}
+	n.applied = e.Index
+	n.state = append(n.state, e.Data...)
+	seen := fmt.Sprintf("%d/%d/%x", e.Term, e.Kind, e.Data)
+	if was, ok := g.byIndex[e.Index]; ok && was != seen {
+		g.t.Fatalf("%s: entry %d was %s and is %s on replica %d", g.label, e.Index, was, seen, n.id)
+	}
+	g.byIndex[e.Index] = seen
+}
+
+func (g *testGroup) checkLeader(n *testNode) {
+	if n.replica.Role() != Leader {
+		return
+	}
+	term := n.replica.Term()
+	if was, ok := g.leaders[term]; ok && was != n.id {
+		g.t.Fatalf("%s: term %d has leaders %d and %d", g.label, term, was, n.id)
+	}
+	g.leaders[term] = n.id
+}
+
+// checkConfirmed fails when two replicas believe at once that no other can lead.
+func (g *testGroup) checkConfirmed() {
+	var confirmed []ReplicaID
+	for _, n := range g.nodes {
+		if !n.down && n.replica.Confirmed(g.now) {
+			confirmed = append(confirmed, n.id)
+		}
+	}
+	if len(confirmed) > 1 {
+		g.t.Fatalf("%s: replicas %v are all confirmed at once", g.label, confirmed)
+	}
+}
+
+// sync saves everything that waits on one node and releases its messages.
+func (g *testGroup) sync(n *testNode) {
+	waiting := n.waiting
+	n.waiting = nil
+	for _, out := range waiting {
+		n.disk.save(out)
+		g.network = append(g.network, out.SendAfterSave...)
+		if len(out.Entries) > 0 {
+			last := out.Entries[len(out.Entries)-1]
+			n.replica.Persisted(g.now, last.Term, last.Index)
+		}
+	}
+	g.collect(n)
+}
+
+func (g *testGroup) deliver(i int, keep bool) {
+	m := g.network[i]
+	if !keep {
+		last := len(g.network) - 1
+		g.network[i] = g.network[last]
+		g.network = g.network[:last]
+	}
+	to := g.node(m.To)
+	from := g.node(m.From)
+	if to == nil || to.down || to.isolated || from == nil || from.isolated {
+		return
+	}
+	to.replica.Step(g.now, m)
+	g.collect(to)
+}
+
+func (g *testGroup) node(id ReplicaID) *testNode {
+	for _, n := range g.nodes {
+		if n.id == id {
+			return n
+		}
+	}
+	return nil
+}
+
+func (g *testGroup) advance(d time.Duration) {
+	g.now = g.now.Add(d)
+	for _, n := range g.nodes {
+		if !n.down {
+			n.replica.Tick(g.now)
+			g.collect(n)
+		}
+	}
+}
+
+func (g *testGroup) propose(n *testNode) {
+	g.proposed++
+	data := binary.BigEndian.AppendUint64(nil, g.proposed)
+	if _, ok := n.replica.Propose(g.now, [][]byte{data}); ok {
+		g.collect(n)
+	}
+}
+
+// proposeAtLeaders proposes at each replica that believes that it leads.
+func (g *testGroup) proposeAtLeaders() {
+	for _, n := range g.nodes {
+		if !n.down && n.replica.Role() == Leader {
+			g.propose(n)
+		}
+	}
+}
+
+func (g *testGroup) compact(n *testNode) {
+	if n.applied <= n.disk.snapshot.Meta.Index || len(n.waiting) > 0 {
+		return
+	}
+	s := Snapshot{Meta: n.replica.SnapshotMetaAt(n.applied), Data: slices.Clone(n.state)}
+	n.replica.Compact(s)
+	n.disk.snapshot = s
+	rest := n.disk.entries[:0:0]
+	for _, e := range n.disk.entries {
+		if e.Index > s.Meta.Index {
+			rest = append(rest, e)
+		}
+	}
+	n.disk.entries = rest
+}
+
+// changeMembership replaces a random replica step by step, as an operator would.
+func (g *testGroup) changeMembership(n *testNode, pick uint64) {
+	members := n.replica.Members().Members
+	if len(members) == 0 {
+		return
+	}
+	target := members[pick%uint64(len(members))]
+	switch {
+	case target.Learner:
+		n.replica.Promote(g.now, target.ID)
+	case len(members) > 3:
+		n.replica.Remove(g.now, target.ID)
+	case len(g.nodes) < 8 && n.replica.AddLearner(g.now, g.nextID, "") == ChangeAccepted:
+		joined := &testNode{id: g.nextID}
+		g.nextID++
+		g.nodes = append(g.nodes, joined)
+		g.start(joined, true)
+	}
+	g.collect(n)
+}
+
+func (g *testGroup) step() {
+	n := g.nodes[g.rng.IntN(len(g.nodes))]
+	action := g.rng.IntN(100)
+	switch {
+	case action < 45:
+		g.deliverSome(action)
+	case action < 65:
+		g.syncAll(n)
+	case action < 77:
+		g.advance(time.Duration(1+g.rng.IntN(maxStepMillis)) * time.Millisecond)
+	case action < 90:
+		g.proposeAtLeaders()
+	case action < 91:
+		n.isolated = true
+	case action < 92:
+		n.down = true
+	case action < 95:
+		g.heal(n)
+	case action < 97:
+		if !n.down {
+			g.compact(n)
+		}
+	case action < 98:
+		if !n.down && n.replica.Transfer(g.now) {
+			g.collect(n)
+		}
+	default:
+		if !n.down {
+			g.changeMembership(n, g.rng.Uint64N(8))
+		}
+	}
+	g.checkConfirmed()
+}
+
+func (g *testGroup) deliverSome(action int) {
+	for range 1 + len(g.network)/3 {
+		if len(g.network) == 0 {
+			return
+		}
+		i := g.rng.IntN(len(g.network))
+		g.deliver(i, action == 0)
+	}
+}
+
+func (g *testGroup) syncAll(n *testNode) {
+	if !n.down {
+		g.sync(n)
+	}
+	for _, other := range g.nodes {
+		if !other.down && other.id%2 == n.id%2 {
+			g.sync(other)
+		}
+	}
+}
+
+// heal reconnects a node and starts it when it is down.
+func (g *testGroup) heal(n *testNode) {
+	n.isolated = false
+	if n.down {
+		join := n.id > ReplicaID(len(g.initial.Members))
+		g.start(n, join)
+	}
+}
+
+// settle lets the group work without faults and reports the commit of its leader.
+func (g *testGroup) settle() uint64 {
+	for _, n := range g.nodes {
+		g.heal(n)
+	}
+	var commit uint64
+	for range 60 {
+		g.advance(100 * time.Millisecond)
+		for range 4 {
+			for len(g.network) > 0 {
+				g.deliver(0, false)
+			}
+			for _, n := range g.nodes {
+				g.sync(n)
+			}
+		}
+		g.checkConfirmed()
+	}
+	for _, n := range g.nodes {
+		if n.replica.Confirmed(g.now) {
+			g.propose(n)
+			commit = n.replica.Commit()
+		}
+	}
+	return commit
+}
+
+func TestRandomSchedules(t *testing.T) {
+	committed := 0
+	for i := range *schedules {
+		g := newTestGroup(t, *firstSeed+uint64(i), 3)
+		g.label = fmt.Sprintf("seed %d", *firstSeed+uint64(i))
+		g.settle()
+		for range *stepCount {
+			g.step()
+		}
+		if g.settle() == 0 {
+			t.Fatalf("%s: no confirmed leader after the faults ended", g.label)
+		}
+		committed += len(g.byIndex)
+	}
+	perSchedule := committed / *schedules
+	t.Logf("entries committed per schedule: %d", perSchedule)
+	qt.Assert(t, perSchedule > 10, qt.IsTrue, qt.Commentf("the schedules hardly commit anything"))
+}
--- /dev/null
+++ b/core/tbcontrol/control.go
@@ -0,0 +1,277 @@
+package tbcontrol
+
+import (
+	"fmt"
+	"time"
+
+	"tamarackbarrow/core/tbconsensus"
+	"tamarackbarrow/core/tbplacement"
+	"tamarackbarrow/core/tbstate"
+)
+
+// Control is the control role of one daemon.
+type Control struct {
+	cfg        Config
+	codec      Codec
+	replica    *tbconsensus.Replica
+	state      *tbstate.State
+	snapshotAt uint64
+	waiting    []proposal
+	inFlight   []sentBatch
+	lead       *leadership
+	failed     bool
+	effects    []Effect
+}
+
+// proposal is one request's commands, or those of the planner when Request is 0.
+type proposal struct {
+	request  uint64
+	commands []tbstate.Command
+}
+
+// sentBatch is a proposed log entry whose outcomes are awaited.
+type sentBatch struct {
+	index     uint64
+	proposals []proposal
+}
+
+// New returns a control role that continues from restored.
+func New(cfg Config, codec Codec, restored tbconsensus.Restored, now time.Time) (*Control, error) {
+	state := tbstate.New()
+	if restored.Snapshot.Meta.Index > 0 {
+		loaded, err := codec.DecodeState(restored.Snapshot.Data)
+		if err != nil {
+			return nil, fmt.Errorf("snapshot at index %d: %w", restored.Snapshot.Meta.Index, err)
+		}
+		state = loaded
+	}
+	return &Control{
+		cfg: cfg, codec: codec, state: state,
+		replica:    tbconsensus.New(cfg.Consensus, restored, now),
+		snapshotAt: restored.Snapshot.Meta.Index,
+	}, nil
+}
+
+// State returns the applied state, which the caller must not change.
+func (c *Control) State() *tbstate.State { return c.state }
+
+// Replica returns the consensus replica, which the caller must not change.
+func (c *Control) Replica() *tbconsensus.Replica { return c.replica }
+
+// Leads reports whether this control role decides at now.
+func (c *Control) Leads(now time.Time) bool {
+	return c.lead != nil && !c.failed && c.replica.Confirmed(now)
+}
+
+// Step handles one event and returns what has to be done.
+func (c *Control) Step(now time.Time, ev Event) []Effect {
+	switch ev := ev.(type) {
+	case MessagesArrived:
+		c.onMessages(now, ev)
+	case Ticked:
+		c.onTick(now)
+	case EntriesPersisted:
+		c.replica.Persisted(now, ev.Term, ev.Index)
+	case ProposalArrived:
+		c.onProposal(now, ev)
+	case SyncArrived:
+		c.onSync(now, ev)
+	case JobsQueried:
+		c.onJobsQueried(now, ev)
+	case StatusQueried:
+		c.onStatusQueried(now, ev)
+	case MemberChangeArrived:
+		c.onMemberChange(now, ev)
+	case BatchEnded:
+		c.proposeWaiting(now)
+	case StopBegun:
+		c.replica.Transfer(now)
+	case StorageFailed:
+		c.failed = true
+	}
+	c.collect(now)
+	effects := c.effects
+	c.effects = nil
+	return effects
+}
+
+func (c *Control) emit(e Effect) { c.effects = append(c.effects, e) }
+
+func (c *Control) onMessages(now time.Time, ev MessagesArrived) {
+	if c.failed {
+		return
+	}
+	for _, m := range ev.Messages {
+		c.replica.Step(now, m)
+	}
+}
+
+func (c *Control) onTick(now time.Time) {
+	if c.failed {
+		return
+	}
+	c.replica.Tick(now)
+	c.updateLeadership(now)
+	if c.Leads(now) {
+		c.lead.tick(c, now)
+	}
+}
+
+// collect turns the replica's output into effects and applies what is committed.
+func (c *Control) collect(now time.Time) {
+	out := c.replica.Take()
+	if len(out.Send) > 0 {
+		c.emit(SendMessages{Messages: out.Send})
+	}
+	save := Save{Install: out.InstallSnapshot, Entries: out.Entries, HardState: out.HardState, Messages: out.SendAfterSave}
+	if save.Install != nil || len(save.Entries) > 0 || save.HardState != nil || len(save.Messages) > 0 {
+		c.emit(save)
+	}
+	if out.InstallSnapshot != nil {
+		c.install(*out.InstallSnapshot)
+	}
+	for _, e := range out.Committed {
+		c.apply(now, e)
+	}
+	c.updateLeadership(now)
+	c.snapshotIfDue()
+}
+
+func (c *Control) install(s tbconsensus.Snapshot) {
+	state, err := c.codec.DecodeState(s.Data)
+	if err != nil {
+		panic(fmt.Sprintf("snapshot of the leader at index %d cannot be read: %v", s.Meta.Index, err))
+	}
+	c.state = state
+	c.snapshotAt = s.Meta.Index
+}
+
+func (c *Control) apply(now time.Time, e tbconsensus.Entry) {
+	if e.Kind != tbconsensus.EntryData {
+		return
+	}
+	batch, err := c.codec.DecodeBatch(e.Data)
+	if err != nil {
+		panic(fmt.Sprintf("committed log entry %d cannot be read: %v", e.Index, err))
+	}
+	outcomes := c.state.Apply(e.Index, batch)
+	if c.lead != nil {
+		c.lead.applied(c, now, batch)
+	}
+	c.answerApplied(e.Index, outcomes)
+}
+
+func (c *Control) answerApplied(index uint64, outcomes []tbstate.Outcome) {
+	if len(c.inFlight) == 0 || c.inFlight[0].index != index {
+		return
+	}
+	sent := c.inFlight[0]
+	c.inFlight = c.inFlight[1:]
+	for _, p := range sent.proposals {
+		n := len(p.commands)
+		if p.request != 0 {
+			c.emit(AnswerProposal{Request: p.request, Outcomes: outcomes[:n:n]})
+		}
+		outcomes = outcomes[n:]
+	}
+}
+
+func (c *Control) snapshotIfDue() {
+	if c.state.Applied < c.snapshotAt+c.cfg.SnapshotEvery {
+		return
+	}
+	index := c.state.Applied
+	s := tbconsensus.Snapshot{Meta: c.replica.SnapshotMetaAt(index), Data: c.codec.EncodeState(c.state)}
+	c.replica.Compact(s)
+	c.snapshotAt = index
+	c.emit(SaveSnapshot{Snapshot: s})
+}
+
+func (c *Control) onProposal(now time.Time, ev ProposalArrived) {
+	if !c.Leads(now) || len(c.waiting) >= c.cfg.MaxWaiting {
+		c.emit(AnswerProposal{Request: ev.Request, NotLeader: true, Leader: c.replica.LeaderID()})
+		return
+	}
+	c.waiting = append(c.waiting, proposal{request: ev.Request, commands: ev.Commands})
+}
+
+// proposeWaiting puts waiting commands into log entries, a bounded number at a time.
+//
+// While entries are under way new commands gather, so that one sync of the disk
+// serves all of them.
+func (c *Control) proposeWaiting(now time.Time) {
+	for len(c.waiting) > 0 && len(c.inFlight) < c.cfg.MaxInFlight && c.Leads(now) {
+		batch := tbstate.Batch{NowMs: now.UnixMilli()}
+		taken := 0
+		for _, p := range c.waiting {
+			if taken > 0 && len(batch.Commands)+len(p.commands) > c.cfg.MaxBatchCommands {
+				break
+			}
+			batch.Commands = append(batch.Commands, p.commands...)
+			taken++
+		}
+		index, ok := c.replica.Propose(now, [][]byte{c.codec.EncodeBatch(batch)})
+		if !ok {
+			return
+		}
+		c.inFlight = append(c.inFlight, sentBatch{index: index, proposals: c.waiting[:taken:taken]})
+		c.waiting = c.waiting[taken:]
+	}
+}
+
+// updateLeadership starts or ends the leader's duties as the replica's role asks.
+func (c *Control) updateLeadership(now time.Time) {
+	ready := c.replica.TermCommitted()
+	switch {
+	case ready && c.lead == nil:
+		c.lead = newLeadership(c, now)
+		c.emit(Log{Message: "leads", Detail: fmt.Sprintf("term %d", c.replica.Term())})
+	case !ready && c.lead != nil && c.replica.Role() != tbconsensus.Leader:
+		c.lead = nil
+		c.emit(Log{Message: "no longer leads", Detail: fmt.Sprintf("term %d", c.replica.Term())})
+	}
+	if c.replica.Role() != tbconsensus.Leader {
+		c.refuseAll()
+	}
+}
+
+// refuseAll tells all requesters to ask the next leader; their commands may still commit.
+func (c *Control) refuseAll() {
+	for _, sent := range c.inFlight {
+		c.waiting = append(sent.proposals, c.waiting...)
+	}
+	c.inFlight = nil
+	for _, p := range c.waiting {
+		if p.request != 0 {
+			c.emit(AnswerProposal{Request: p.request, NotLeader: true, Leader: c.replica.LeaderID()})
+		}
+	}
+	c.waiting = nil
+}
+
+func (c *Control) onMemberChange(now time.Time, ev MemberChangeArrived) {
+	answer := AnswerMemberChange{Request: ev.Request}
+	if !c.Leads(now) {
+		answer.NotLeader = true
+		answer.Leader = c.replica.LeaderID()
+		c.emit(answer)
+		return
+	}
+	switch ev.Change {
+	case AddLearner:
+		answer.Refusal = c.replica.AddLearner(now, ev.Replica, ev.Address)
+	case Promote:
+		answer.Refusal = c.replica.Promote(now, ev.Replica)
+	case Remove:
+		answer.Refusal = c.replica.Remove(now, ev.Replica)
+	}
+	c.emit(answer)
+}
+
+// WaitReason returns why a queued job waits, as far as this leader knows.
+func (c *Control) WaitReason(job string) tbplacement.WaitReason {
+	if c.lead == nil {
+		return tbplacement.WaitNotYetPlanned
+	}
+	return c.lead.planner.Waiting(job)
+}
--- /dev/null
+++ b/core/tbcontrol/views.go
@@ -0,0 +1,200 @@
+package tbcontrol
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"tamarackbarrow/core/tbstate"
+)
+
+// onSync renews an entry's lease and sends what changed since its view.
+//
+// The lease and the newest state go out in one answer, so that an entry with a
+// valid lease never works with a bundle or a view older than its lease.
+func (c *Control) onSync(now time.Time, ev SyncArrived) {
+	answer := AnswerSync{Request: ev.Request, Leader: c.replica.LeaderID()}
+	if !c.Leads(now) {
+		answer.NotLeader = true
+		c.emit(answer)
+		return
+	}
+	key := ev.Sync.Session.Key
+	answer.View = c.view(ev.Sync)
+	switch {
+	case c.state.Sessions[key] == nil && ev.Sync.SessionSeen:
+		answer.View.SessionClosed = true
+	case c.state.Sessions[key] == nil:
+		c.plannerPropose([]tbstate.Command{tbstate.OpenSession{Session: ev.Sync.Session}})
+	case c.lead.closing[key]:
+	default:
+		c.lead.leases.Grant(key, now)
+		c.lead.note(ev.Sync, now)
+		answer.View.LeaseGranted = true
+	}
+	c.emit(answer)
+}
+
+func (c *Control) view(sync Sync) View {
+	v := View{
+		Term: c.replica.Term(), Index: c.state.Applied,
+		Replicas: c.replica.Members().Members,
+		Loads:    c.peerLoads(sync.Session.Key),
+	}
+	changes, ok := c.state.ChangesSince(sync.ViewIndex)
+	if !ok || sync.ViewIndex == 0 {
+		c.fullView(&v, sync.Session.Key)
+		return v
+	}
+	for _, change := range changes {
+		c.addChange(&v, change, sync)
+	}
+	return v
+}
+
+func (c *Control) fullView(v *View, session string) {
+	v.Full = true
+	v.Bundle = c.state.Bundle()
+	for _, key := range c.state.SessionKeys() {
+		v.Sessions = append(v.Sessions, *c.state.Sessions[key])
+	}
+	for _, id := range c.state.RunnerIDs() {
+		v.Runners = append(v.Runners, runnerFor(c.state.Runners[id], session))
+	}
+	for _, id := range c.state.WorkerIDs() {
+		v.Workers = append(v.Workers, *c.state.Workers[id])
+		for _, j := range c.state.TasksOn(id) {
+			v.Tasks = append(v.Tasks, *j)
+		}
+	}
+}
+
+// runnerFor copies a runner with the grant of one session only.
+func runnerFor(r *tbstate.Runner, session string) tbstate.Runner {
+	own := *r
+	own.Grants = nil
+	if g := r.Grant(session); g.Changed > 0 {
+		own.Grants = []tbstate.Grant{g}
+	}
+	return own
+}
+
+func (c *Control) addChange(v *View, change tbstate.Change, sync Sync) {
+	switch change.Kind {
+	case tbstate.BundleRecord:
+		v.Bundle = c.state.Bundle()
+	case tbstate.SessionRecord:
+		if s := c.state.Sessions[change.ID]; s != nil {
+			v.Sessions = append(v.Sessions, *s)
+			return
+		}
+		v.GoneSessions = append(v.GoneSessions, change.ID)
+	case tbstate.RunnerRecord:
+		c.addRunner(v, change.ID, sync)
+	case tbstate.WorkerRecord:
+		if w := c.state.Workers[change.ID]; w != nil {
+			v.Workers = append(v.Workers, *w)
+			return
+		}
+		v.GoneWorkers = append(v.GoneWorkers, change.ID)
+	case tbstate.TaskRecord:
+		if j := c.state.Jobs[change.ID]; j != nil && j.Phase.Placed() {
+			v.Tasks = append(v.Tasks, *j)
+			return
+		}
+		v.GoneTasks = append(v.GoneTasks, change.ID)
+	}
+}
+
+// addRunner leaves out a runner of which only the grants of other sessions changed.
+func (c *Control) addRunner(v *View, id string, sync Sync) {
+	r := c.state.Runners[id]
+	if r == nil {
+		v.GoneRunners = append(v.GoneRunners, id)
+		return
+	}
+	own := r.Grant(sync.Session.Key)
+	if r.Changed > sync.ViewIndex || own.Changed > sync.ViewIndex {
+		v.Runners = append(v.Runners, runnerFor(r, sync.Session.Key))
+	}
+}
+
+func (c *Control) peerLoads(own string) []EntryLoad {
+	var loads []EntryLoad
+	for _, key := range slices.Sorted(maps.Keys(c.lead.loads)) {
+		if key != own && !c.lead.closing[key] {
+			loads = append(loads, EntryLoad{Session: key, Loads: c.lead.loads[key].loads})
+		}
+	}
+	return loads
+}
+
+func (c *Control) onJobsQueried(now time.Time, ev JobsQueried) {
+	answer := AnswerJobs{Request: ev.Request, Leader: c.replica.LeaderID()}
+	if !c.Leads(now) {
+		answer.NotLeader = true
+		c.emit(answer)
+		return
+	}
+	for _, id := range ev.IDs {
+		v := JobView{Job: tbstate.Job{ID: id}}
+		if j := c.state.Jobs[id]; j != nil {
+			v = JobView{Job: *j, Known: true}
+			if j.Phase == tbstate.JobQueued {
+				v.Waiting = c.lead.planner.Waiting(id)
+			}
+		}
+		answer.Jobs = append(answer.Jobs, v)
+	}
+	c.emit(answer)
+}
+
+func (c *Control) onStatusQueried(now time.Time, ev StatusQueried) {
+	answer := AnswerStatus{Request: ev.Request, Leader: c.replica.LeaderID()}
+	if !c.Leads(now) {
+		answer.NotLeader = true
+		c.emit(answer)
+		return
+	}
+	answer.Status = c.status(now)
+	c.emit(answer)
+}
+
+func (c *Control) status(now time.Time) Status {
+	st := Status{
+		Leader: c.replica.LeaderID(), Term: c.replica.Term(), Commit: c.replica.Commit(),
+		InForce: c.state.InForce, Replicas: c.replica.Members().Members, Progress: c.replica.Peers(),
+		Queued: c.state.QueuedCount(), Claims: len(c.state.Claims),
+	}
+	for _, version := range slices.Sorted(maps.Keys(c.state.Bundles)) {
+		st.Bundles = append(st.Bundles, *c.state.Bundles[version])
+	}
+	for _, key := range c.state.SessionKeys() {
+		st.Entries = append(st.Entries, EntryView{
+			Session: *c.state.Sessions[key], ConfirmedVersion: c.lead.confirmed[key],
+			LeaseLeft: max(0, c.lead.leases.Until(key).Sub(now)),
+		})
+	}
+	for _, id := range c.state.RunnerIDs() {
+		st.Runners = append(st.Runners, *c.state.Runners[id])
+	}
+	for _, id := range c.state.WorkerIDs() {
+		st.Workers = append(st.Workers, WorkerView{
+			Worker: *c.state.Workers[id], Reserved: c.state.Reserved(id), Tasks: c.state.TaskCount(id),
+		})
+	}
+	st.Jobs = c.jobCounts()
+	return st
+}
+
+func (c *Control) jobCounts() []PhaseCount {
+	counts := map[tbstate.JobPhase]int{}
+	for _, j := range c.state.Jobs {
+		counts[j.Phase]++
+	}
+	var all []PhaseCount
+	for _, phase := range slices.Sorted(maps.Keys(counts)) {
+		all = append(all, PhaseCount{Phase: phase, Count: counts[phase]})
+	}
+	return all
+}
--- /dev/null
+++ b/core/tbplacement/planner.go
@@ -0,0 +1,169 @@
+package tbplacement
+
+import (
+	"time"
+
+	"tamarackbarrow/core/tbstate"
+)
+
+// Policy tunes the planner.
+type Policy struct {
+	// Learn is false for the baseline that trusts declared run times and keeps no share for short work.
+	Learn bool
+	// ShortBound is the run time up to which a job counts as short.
+	ShortBound time.Duration
+	// MinShortShare and MaxShortShare bound the capacity kept for short work.
+	MinShortShare float64
+	MaxShortShare float64
+	// ShortHeadroom is the kept capacity as a multiple of what short work used lately.
+	ShortHeadroom float64
+	// ShareDecay is the time in which an unused kept share shrinks to a third.
+	ShareDecay time.Duration
+	// MaxScanned bounds the queued jobs looked at in one plan.
+	MaxScanned int
+	// MaxStarts bounds the starts of one plan.
+	MaxStarts int
+	// EvictionsPerSecond bounds evictions over the whole group of workers.
+	EvictionsPerSecond float64
+	// NominationTimeout is how long room freed for an urgent job is kept for it.
+	NominationTimeout time.Duration
+	// EvictPause is the least time between two evictions of one job.
+	EvictPause time.Duration
+}
+
+// DefaultPolicy returns the policy of the daemon.
+func DefaultPolicy() Policy {
+	return Policy{
+		Learn: true, ShortBound: 30 * time.Second,
+		MinShortShare: 0.02, MaxShortShare: 0.4, ShortHeadroom: 1.3, ShareDecay: time.Minute,
+		MaxScanned: 2000, MaxStarts: 64, EvictionsPerSecond: 20,
+		NominationTimeout: 10 * time.Second, EvictPause: 30 * time.Second,
+	}
+}
+
+// Planner keeps what has to be remembered between plans; all of it may be lost with the leader.
+type Planner struct {
+	policy Policy
+	// nominated keeps the worker whose tasks give way for an urgent job.
+	nominated map[string]nomination
+	// lastEvicted is when a job was last told to stop.
+	lastEvicted map[string]time.Time
+	evictTokens float64
+	lastPlan    time.Time
+	shortShare  float64
+	waiting     map[string]WaitReason
+}
+
+type nomination struct {
+	worker string
+	until  time.Time
+}
+
+// WaitReason is why a queued job did not start in the last plan.
+type WaitReason string
+
+// Reasons to wait.
+const (
+	WaitNoWorkers     WaitReason = "noWorkerPresent"
+	WaitNeverFits     WaitReason = "fitsNoPresentWorker"
+	WaitNoRoom        WaitReason = "noRoomNow"
+	WaitQuota         WaitReason = "teamQuotaUsed"
+	WaitKeptForShort  WaitReason = "roomKeptForShortWork"
+	WaitForEviction   WaitReason = "waitsForEviction"
+	WaitNotYetPlanned WaitReason = "notYetPlanned"
+)
+
+// New returns a planner that remembers nothing.
+func New(policy Policy) *Planner {
+	return &Planner{
+		policy: policy, nominated: map[string]nomination{}, lastEvicted: map[string]time.Time{},
+		waiting: map[string]WaitReason{}, shortShare: policy.MinShortShare,
+	}
+}
+
+// Waiting returns why a queued job waits.
+func (p *Planner) Waiting(job string) WaitReason {
+	if reason, ok := p.waiting[job]; ok {
+		return reason
+	}
+	return WaitNotYetPlanned
+}
+
+// ShortShare returns the share of capacity that is kept for short work at present.
+func (p *Planner) ShortShare() float64 { return p.shortShare }
+
+// Plan returns the starts and evictions that the state asks for at now.
+func (p *Planner) Plan(s *tbstate.State, now time.Time) []tbstate.Command {
+	p.refill(now)
+	p.dropOldNominations(s, now)
+	r := newRound(p, s, now)
+	p.updateShortShare(r, now)
+	s.EachQueued(r.consider)
+	r.evictOutrun()
+	p.lastPlan = now
+	return r.commands
+}
+
+func (p *Planner) refill(now time.Time) {
+	if p.lastPlan.IsZero() {
+		p.evictTokens = p.policy.EvictionsPerSecond
+		return
+	}
+	p.evictTokens += now.Sub(p.lastPlan).Seconds() * p.policy.EvictionsPerSecond
+	p.evictTokens = min(p.evictTokens, p.policy.EvictionsPerSecond)
+}
+
+func (p *Planner) dropOldNominations(s *tbstate.State, now time.Time) {
+	for id, n := range p.nominated {
+		j := s.Jobs[id]
+		if j == nil || j.Phase != tbstate.JobQueued || now.After(n.until) {
+			delete(p.nominated, id)
+		}
+	}
+	for id, at := range p.lastEvicted {
+		if now.Sub(at) > 2*p.policy.EvictPause {
+			delete(p.lastEvicted, id)
+		}
+	}
+	clear(p.waiting)
+}
+
+// updateShortShare follows the use by short work: up at once, down slowly.
+func (p *Planner) updateShortShare(r *round, now time.Time) {
+	if !p.policy.Learn {
+		p.shortShare = 0
+		return
+	}
+	used := p.policy.ShortHeadroom * r.shortUse().Share(r.capacity)
+	elapsed := now.Sub(p.lastPlan)
+	if p.lastPlan.IsZero() {
+		elapsed = 0
+	}
+	decayed := p.shortShare * (1 - min(1, elapsed.Seconds()/p.policy.ShareDecay.Seconds()))
+	p.shortShare = min(max(used, decayed, p.policy.MinShortShare), p.policy.MaxShortShare)
+}
+
+// class tells short jobs from long ones.
+type class bool
+
+const (
+	shortJob class = false
+	longJob  class = true
+)
+
+// classOf uses what was learned of the kind; unknown kinds start as short unless declared long.
+func (p *Planner) classOf(s *tbstate.State, j *tbstate.Job) class {
+	if !p.policy.Learn {
+		return shortJob
+	}
+	if j.LongClass {
+		return longJob
+	}
+	if k := s.Kinds[j.Kind]; k != nil && k.Runs >= minRunsToTrust {
+		return class(k.MeanMs > float64(p.policy.ShortBound.Milliseconds()))
+	}
+	return shortJob
+}
+
+// minRunsToTrust is the number of finished runs from which the mean of a kind counts.
+const minRunsToTrust = 3
--- /dev/null
+++ b/core/tbplacement/round.go
@@ -0,0 +1,359 @@
+package tbplacement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"tamarackbarrow/core/tbresource"
+	"tamarackbarrow/core/tbstate"
+)
+
+// seat is a worker as the round sees it, after the commands planned so far.
+type seat struct {
+	worker *tbstate.Worker
+	free   tbresource.Amount
+	// longUse is held by long jobs.
+	longUse tbresource.Amount
+	// trial is true for a worker that may run only one task to prove itself.
+	trial bool
+}
+
+// shape stands for all jobs that fit or do not fit alike.
+type shape struct {
+	size  tbresource.Amount
+	class class
+	team  string
+}
+
+// round is the working state of one plan.
+type round struct {
+	p        *Planner
+	s        *tbstate.State
+	now      time.Time
+	seats    []*seat
+	capacity tbresource.Amount
+	teamUse  map[string]tbresource.Amount
+	scanned  int
+	starts   int
+	failed   map[shape]WaitReason
+	// shortWaits is true when a short job found no room.
+	shortWaits bool
+	commands   []tbstate.Command
+}
+
+func newRound(p *Planner, s *tbstate.State, now time.Time) *round {
+	r := &round{p: p, s: s, now: now, teamUse: map[string]tbresource.Amount{}, failed: map[shape]WaitReason{}}
+	for _, id := range s.WorkerIDs() {
+		w := s.Workers[id]
+		if w.Phase != tbstate.WorkerPresent {
+			continue
+		}
+		r.capacity = r.capacity.Add(w.Capacity)
+		if w.ProbationUntilMs > s.NowMs {
+			continue
+		}
+		r.seats = append(r.seats, r.newSeat(w))
+	}
+	r.holdNominated()
+	return r
+}
+
+func (r *round) newSeat(w *tbstate.Worker) *seat {
+	st := &seat{worker: w, free: w.Capacity.Sub(r.s.Reserved(w.ID))}
+	st.trial = w.ProbationUntilMs > 0 && w.Failures > 0
+	if st.trial && r.s.TaskCount(w.ID) > 0 {
+		st.free = tbresource.Amount{}
+	}
+	for _, j := range r.s.TasksOn(w.ID) {
+		if r.p.classOf(r.s, j) == longJob {
+			st.longUse = st.longUse.Add(j.Resources)
+		}
+	}
+	return st
+}
+
+// holdNominated keeps room on nominated workers from all other jobs.
+func (r *round) holdNominated() {
+	for id, n := range r.p.nominated {
+		if st := r.seat(n.worker); st != nil {
+			st.free = st.free.Sub(r.s.Jobs[id].Resources)
+		}
+	}
+}
+
+func (r *round) seat(worker string) *seat {
+	for _, st := range r.seats {
+		if st.worker.ID == worker {
+			return st
+		}
+	}
+	return nil
+}
+
+// shortUse returns what short jobs hold now.
+func (r *round) shortUse() tbresource.Amount {
+	var used tbresource.Amount
+	for _, st := range r.seats {
+		used = used.Add(r.s.Reserved(st.worker.ID)).Sub(st.longUse)
+	}
+	return used
+}
+
+// consider plans one queued job and reports whether to go on.
+func (r *round) consider(j *tbstate.Job) bool {
+	r.scanned++
+	if r.scanned > r.p.policy.MaxScanned || r.starts >= r.p.policy.MaxStarts {
+		return false
+	}
+	c := r.p.classOf(r.s, j)
+	key := shape{size: j.Resources, class: c, team: j.Team}
+	n, isNominated := r.p.nominated[j.ID]
+	if reason, known := r.failed[key]; known && !isNominated && !j.Urgent {
+		r.wait(j, c, reason)
+		return true
+	}
+	if !r.withinQuota(j) {
+		r.failed[key] = WaitQuota
+		r.wait(j, c, WaitQuota)
+		return true
+	}
+	if isNominated {
+		r.startNominated(j, n)
+		return true
+	}
+	st, reason := r.bestSeat(j, c)
+	if st != nil {
+		r.start(j, c, st)
+		return true
+	}
+	if j.Urgent && reason == WaitNoRoom && r.preempt(j) {
+		reason = WaitForEviction
+	} else {
+		r.failed[key] = reason
+	}
+	r.wait(j, c, reason)
+	return true
+}
+
+func (r *round) wait(j *tbstate.Job, c class, reason WaitReason) {
+	r.p.waiting[j.ID] = reason
+	if c == shortJob && reason == WaitNoRoom {
+		r.shortWaits = true
+	}
+}
+
+func (r *round) withinQuota(j *tbstate.Job) bool {
+	b := r.s.Bundle()
+	if b == nil {
+		return false
+	}
+	team, ok := b.Team(j.Team)
+	if !ok {
+		return false
+	}
+	used := r.s.TeamUse(j.Team).Add(r.teamUse[j.Team])
+	return used.Add(j.Resources).Fits(team.Quota)
+}
+
+// bestSeat picks the fullest worker with room, so that large jobs keep finding empty ones.
+func (r *round) bestSeat(j *tbstate.Job, c class) (*seat, WaitReason) {
+	if len(r.seats) == 0 {
+		return nil, WaitNoWorkers
+	}
+	var best *seat
+	var bestLeft float64
+	reason := WaitNeverFits
+	for _, st := range r.seats {
+		if !j.Resources.Fits(st.worker.Capacity) {
+			continue
+		}
+		if !j.Resources.Fits(st.free) {
+			reason = moreHopeful(reason, WaitNoRoom)
+			continue
+		}
+		if c == longJob && !j.Urgent && r.overLongShare(st, j) {
+			reason = moreHopeful(reason, WaitKeptForShort)
+			continue
+		}
+		left := st.free.Sub(j.Resources).Share(st.worker.Capacity)
+		if best == nil || left < bestLeft {
+			best, bestLeft = st, left
+		}
+	}
+	return best, reason
+}
+
+// moreHopeful keeps the reason that says most about when the job may start.
+func moreHopeful(a, b WaitReason) WaitReason {
+	if a == WaitKeptForShort {
+		return a
+	}
+	return b
+}
+
+// overLongShare keeps part of each worker from long jobs.
+//
+// A worker that holds no long job takes one of any size, or else a job larger
+// than the rest of the share could never start.
+func (r *round) overLongShare(st *seat, j *tbstate.Job) bool {
+	if st.longUse == (tbresource.Amount{}) {
+		return false
+	}
+	use := st.longUse.Add(j.Resources).Share(st.worker.Capacity)
+	return use > 1-r.p.shortShare
+}
+
+func (r *round) start(j *tbstate.Job, c class, st *seat) {
+	st.free = st.free.Sub(j.Resources)
+	if c == longJob {
+		st.longUse = st.longUse.Add(j.Resources)
+	}
+	if st.trial {
+		st.free = tbresource.Amount{}
+	}
+	r.teamUse[j.Team] = r.teamUse[j.Team].Add(j.Resources)
+	r.starts++
+	r.commands = append(r.commands, tbstate.StartTask{Job: j.ID, Worker: st.worker.ID, Epoch: j.Epoch + 1})
+}
+
+// startNominated starts an urgent job once the tasks before it have stopped.
+func (r *round) startNominated(j *tbstate.Job, n nomination) {
+	st := r.seat(n.worker)
+	if st == nil {
+		delete(r.p.nominated, j.ID)
+		return
+	}
+	// The held room is the job's own.
+	if st.free.MilliProcessors < 0 || st.free.MemoryMB < 0 || st.free.Accelerators < 0 {
+		r.wait(j, shortJob, WaitForEviction)
+		return
+	}
+	st.free = st.free.Add(j.Resources)
+	delete(r.p.nominated, j.ID)
+	r.start(j, r.p.classOf(r.s, j), st)
+}
+
+// preempt frees room for an urgent job by stopping less important tasks of one worker.
+func (r *round) preempt(j *tbstate.Job) bool {
+	var best []*tbstate.Job
+	var bestSeat *seat
+	for _, st := range r.seats {
+		if !j.Resources.Fits(st.worker.Capacity) {
+			continue
+		}
+		victims, ok := r.victims(st, j)
+		if !ok || float64(len(victims)) > r.p.evictTokens {
+			continue
+		}
+		if best == nil || lostWork(r.s, victims) < lostWork(r.s, best) {
+			best, bestSeat = victims, st
+		}
+	}
+	if bestSeat == nil {
+		return false
+	}
+	for _, v := range best {
+		r.evict(v, tbstate.EvictedForUrgent)
+		bestSeat.free = bestSeat.free.Add(v.Resources)
+	}
+	bestSeat.free = bestSeat.free.Sub(j.Resources)
+	r.p.nominated[j.ID] = nomination{worker: bestSeat.worker.ID, until: r.now.Add(r.p.policy.NominationTimeout)}
+	return true
+}
+
+// victims returns the cheapest tasks of a worker whose end makes room for j.
+func (r *round) victims(st *seat, j *tbstate.Job) ([]*tbstate.Job, bool) {
+	free := st.free
+	for _, t := range r.s.TasksOn(st.worker.ID) {
+		// What is already stopping frees its room soon.
+		if t.Phase == tbstate.JobStopping && !r.evictedNow(t) {
+			free = free.Add(t.Resources)
+		}
+	}
+	var chosen []*tbstate.Job
+	for _, t := range r.evictable(st, j) {
+		if j.Resources.Fits(free) {
+			break
+		}
+		free = free.Add(t.Resources)
+		chosen = append(chosen, t)
+	}
+	return chosen, j.Resources.Fits(free) && len(chosen) > 0
+}
+
+func (r *round) evictedNow(t *tbstate.Job) bool {
+	return r.p.lastEvicted[t.ID].Equal(r.now)
+}
+
+// evictable orders a worker's tasks that may give way to j: lowest rank, then least lost work.
+func (r *round) evictable(st *seat, j *tbstate.Job) []*tbstate.Job {
+	var tasks []*tbstate.Job
+	for _, t := range r.s.TasksOn(st.worker.ID) {
+		if t.Phase != tbstate.JobRunning || t.Urgent || t.Rank > j.Rank || r.evictedLately(t) {
+			continue
+		}
+		tasks = append(tasks, t)
+	}
+	slices.SortStableFunc(tasks, func(a, b *tbstate.Job) int {
+		if c := cmp.Compare(a.Rank, b.Rank); c != 0 {
+			return c
+		}
+		return cmp.Compare(lostMs(r.s, a), lostMs(r.s, b))
+	})
+	return tasks
+}
+
+func (r *round) evictedLately(t *tbstate.Job) bool {
+	at, ok := r.p.lastEvicted[t.ID]
+	return ok && r.now.Sub(at) < r.p.policy.EvictPause
+}
+
+// lostMs is the run time that an eviction throws away.
+func lostMs(s *tbstate.State, j *tbstate.Job) int64 {
+	if checkpointable(s, j) {
+		return 0
+	}
+	return s.NowMs - j.StartedMs
+}
+
+func lostWork(s *tbstate.State, jobs []*tbstate.Job) int64 {
+	// One more stopped task costs as much as a second of lost work.
+	sum := int64(len(jobs)) * 1000
+	for _, j := range jobs {
+		sum += lostMs(s, j)
+	}
+	return sum
+}
+
+func checkpointable(s *tbstate.State, j *tbstate.Job) bool {
+	b := s.Bundle()
+	if b == nil {
+		return false
+	}
+	kind, ok := b.Kind(j.Kind)
+	return ok && kind.Checkpointable
+}
+
+func (r *round) evict(j *tbstate.Job, reason tbstate.Reason) {
+	r.p.evictTokens--
+	r.p.lastEvicted[j.ID] = r.now
+	r.commands = append(r.commands, tbstate.EvictTask{Job: j.ID, Epoch: j.Epoch, Reason: reason})
+}
+
+// evictOutrun moves tasks that outran the short class out of the way of waiting short work.
+func (r *round) evictOutrun() {
+	if !r.p.policy.Learn || !r.shortWaits {
+		return
+	}
+	bound := r.p.policy.ShortBound.Milliseconds()
+	for _, st := range r.seats {
+		for _, j := range r.s.TasksOn(st.worker.ID) {
+			outran := j.Phase == tbstate.JobRunning && !j.LongClass && !j.Urgent && r.s.NowMs-j.StartedMs > bound
+			if !outran || r.p.evictTokens < 1 || !checkpointable(r.s, j) || r.evictedLately(j) {
+				continue
+			}
+			r.evict(j, tbstate.EvictedForOutrun)
+		}
+	}
+}
--- /dev/null
+++ b/core/tbqueue/doc.go
@@ -0,0 +1,2 @@
+// Package tbqueue is a bounded queue that is fair among members.
+package tbqueue
--- /dev/null
+++ b/core/tbresource/doc.go
@@ -0,0 +1,2 @@
+// Package tbresource counts processors, memory and accelerators.
+package tbresource
--- /dev/null
+++ b/core/tbstate/bundles.go
@@ -0,0 +1,56 @@
+package tbstate
+
+import (
+	"fmt"
+	"time"
+)
+
+func (s *State) signOff(c SignOff) Outcome {
+	b := c.Bundle
+	if known := s.Bundles[b.Version]; known != nil {
+		if known.Digest == b.Digest {
+			return Outcome{}
+		}
+		return Outcome{
+			Reason: VersionTaken,
+			Detail: fmt.Sprintf("version %d is signed off with digest %s, the refused file has %s", b.Version, known.Digest, b.Digest),
+		}
+	}
+	if b.Version < s.InForce {
+		return s.lowerVersion(b.Version, b.Digest)
+	}
+	s.Bundles[b.Version] = &b
+	return Outcome{}
+}
+
+func (s *State) rollOut(c RollOut) Outcome {
+	b := s.Bundles[c.Version]
+	switch {
+	case b == nil:
+		return Outcome{Reason: VersionUnknown, Detail: fmt.Sprintf("version %d is not signed off", c.Version)}
+	case c.Version < s.InForce:
+		return s.lowerVersion(c.Version, b.Digest)
+	case c.Version == s.InForce:
+		return Outcome{}
+	}
+	s.InForce = c.Version
+	s.touch(BundleRecord, "")
+	return Outcome{}
+}
+
+// LongestRunDeadline returns the largest run deadline of any version signed off.
+func (s *State) LongestRunDeadline() time.Duration {
+	var longest time.Duration
+	for _, b := range s.Bundles {
+		longest = max(longest, b.LongestRunDeadline())
+	}
+	return longest
+}
+
+func (s *State) lowerVersion(version uint64, digest string) Outcome {
+	return Outcome{
+		Reason: VersionLower,
+		Detail: fmt.Sprintf("version %d (digest %s) is lower than version %d in force (digest %s)",
+			version, digest, s.InForce, s.Bundles[s.InForce].Digest),
+	}
+}
--- /dev/null
+++ b/core/tbstate/runners.go
@@ -0,0 +1,167 @@
+package tbstate
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+func (s *State) openSession(c OpenSession) Outcome {
+	if s.Sessions[c.Session.Key] != nil {
+		return Outcome{}
+	}
+	opened := c.Session
+	opened.Changed = s.Applied
+	s.Sessions[opened.Key] = &opened
+	s.touch(SessionRecord, opened.Key)
+	return Outcome{}
+}
+
+// closeSession drops all that the session held; its running claims can no longer be decided.
+func (s *State) closeSession(c CloseSession) Outcome {
+	if s.Sessions[c.Key] == nil {
+		return Outcome{}
+	}
+	delete(s.Sessions, c.Key)
+	s.touch(SessionRecord, c.Key)
+	for _, id := range s.RunnerIDs() {
+		s.dropGrant(s.Runners[id], c.Key)
+	}
+	for _, claim := range s.Claims {
+		if claim.Session == c.Key && claim.Status == ClaimRunning {
+			s.endClaim(claim, ClaimOutcomeUnknown, nil, string(EntryLost))
+		}
+	}
+	return Outcome{}
+}
+
+func (s *State) dropGrant(r *Runner, session string) {
+	i := slices.IndexFunc(r.Grants, func(g Grant) bool { return g.Session == session })
+	if i >= 0 {
+		r.Grants = slices.Delete(r.Grants, i, i+1)
+		s.touch(RunnerRecord, r.ID)
+	}
+}
+
+// touchRunner records a change of the runner itself; grants carry their own index.
+func (s *State) touchRunner(r *Runner) {
+	r.Changed = s.Applied
+	s.touch(RunnerRecord, r.ID)
+}
+
+func (s *State) announceRunner(c AnnounceRunner) Outcome {
+	known := s.Runners[c.Runner.ID]
+	if known != nil && c.Runner.Incarnation < known.Incarnation {
+		return Outcome{Reason: StaleIncarnation}
+	}
+	if known == nil || c.Runner.Incarnation > known.Incarnation {
+		added := c.Runner
+		added.Grants = nil
+		s.Runners[added.ID] = &added
+		s.touchRunner(&added)
+		return Outcome{}
+	}
+	if known.Phase == c.Runner.Phase || known.Phase == RunnerLeaving {
+		return Outcome{}
+	}
+	known.Phase = c.Runner.Phase
+	s.touchRunner(known)
+	return Outcome{}
+}
+
+// markRunnerAbsent keeps the grants: requests may still occupy the slots.
+func (s *State) markRunnerAbsent(c MarkRunnerAbsent) Outcome {
+	r := s.Runners[c.ID]
+	if r == nil || r.Incarnation != c.Incarnation {
+		return Outcome{Reason: RunnerUnknown}
+	}
+	if r.Phase == RunnerPresent {
+		r.Phase = RunnerAbsent
+		s.touchRunner(r)
+	}
+	return Outcome{}
+}
+
+func (s *State) forgetRunner(c ForgetRunner) Outcome {
+	r := s.Runners[c.ID]
+	if r == nil || r.Incarnation != c.Incarnation || r.Phase == RunnerPresent {
+		return Outcome{Reason: RunnerUnknown}
+	}
+	delete(s.Runners, c.ID)
+	s.touch(RunnerRecord, c.ID)
+	return Outcome{}
+}
+
+func (s *State) setGrants(c SetGrants) Outcome {
+	var refused Outcome
+	for _, change := range c.Changes {
+		if reason := s.setGrant(change); reason != OK {
+			refused = Outcome{
+				Reason: reason,
+				Detail: fmt.Sprintf("%d slots of runner %q for session %q", change.Slots, change.Runner, change.Session),
+			}
+		}
+	}
+	return refused
+}
+
+func (s *State) setGrant(c GrantChange) Reason {
+	r := s.Runners[c.Runner]
+	switch {
+	case r == nil:
+		return RunnerUnknown
+	case s.Sessions[c.Session] == nil:
+		return SessionUnknown
+	}
+	old := r.Grant(c.Session)
+	granted := max(old.Granted, c.Slots)
+	if r.Granted()-old.Granted+granted > r.Slots {
+		return SlotsExceeded
+	}
+	if old.Target == c.Slots && old.Granted == granted {
+		return OK
+	}
+	r.putGrant(Grant{Session: c.Session, Granted: granted, Target: c.Slots, Changed: s.Applied})
+	s.touch(RunnerRecord, r.ID)
+	return OK
+}
+
+func (r *Runner) putGrant(g Grant) {
+	i, found := slices.BinarySearchFunc(r.Grants, g.Session, func(have Grant, session string) int {
+		return strings.Compare(have.Session, session)
+	})
+	if !found {
+		r.Grants = slices.Insert(r.Grants, i, g)
+		return
+	}
+	r.Grants[i] = g
+}
+
+// surrender lowers a grant only if its target is still the one that the session answered.
+//
+// Otherwise a slow surrender to 2 slots could cut a grant whose target went up
+// to 5 meanwhile, while the session already uses 5.
+func (s *State) surrender(c Surrender) Outcome {
+	var refused Outcome
+	for _, change := range c.Changes {
+		r := s.Runners[change.Runner]
+		if r == nil {
+			refused = Outcome{Reason: RunnerUnknown}
+			continue
+		}
+		g := r.Grant(change.Session)
+		if g.Changed != change.BasedOn || g.Target != change.Slots {
+			refused = Outcome{Reason: GrantChanged}
+			continue
+		}
+		if g.Granted == g.Target {
+			continue
+		}
+		g.Granted = g.Target
+		r.putGrant(g)
+		if g.Granted == 0 {
+			s.dropGrant(r, g.Session)
+		}
+	}
+	return refused
+}
--- /dev/null
+++ b/core/tbstate/state.go
@@ -0,0 +1,158 @@
+package tbstate
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"tamarackbarrow/core/tbbundle"
+	"tamarackbarrow/core/tbresource"
+)
+
+// State is everything that survives; the exported fields are read-only outside this package.
+type State struct {
+	// NowMs is the newest time of any batch, in milliseconds since 1970.
+	NowMs    int64
+	Applied  uint64
+	Bundles  map[uint64]*tbbundle.Bundle
+	InForce  uint64
+	Sessions map[string]*Session
+	Runners  map[string]*Runner
+	Workers  map[string]*Worker
+	Jobs     map[string]*Job
+	Claims   map[ClaimKey]*Claim
+	Kinds    map[string]*KindStats
+	NextSeq  uint64
+
+	queued      queuedJobs
+	tasks       map[string]map[string]*Job
+	reserved    map[string]tbresource.Amount
+	teamUse     map[string]tbresource.Amount
+	claimCounts map[string]int
+	expiries    expiryHeap
+	ended       []*Job
+	changes     changeLog
+}
+
+// New returns an empty state.
+func New() *State {
+	return &State{
+		Bundles:     map[uint64]*tbbundle.Bundle{},
+		Sessions:    map[string]*Session{},
+		Runners:     map[string]*Runner{},
+		Workers:     map[string]*Worker{},
+		Jobs:        map[string]*Job{},
+		Claims:      map[ClaimKey]*Claim{},
+		Kinds:       map[string]*KindStats{},
+		tasks:       map[string]map[string]*Job{},
+		reserved:    map[string]tbresource.Amount{},
+		teamUse:     map[string]tbresource.Amount{},
+		claimCounts: map[string]int{},
+	}
+}
+
+// Apply carries out a batch at a log index and answers each of its commands.
+func (s *State) Apply(index uint64, b Batch) []Outcome {
+	if index <= s.Applied {
+		panic(fmt.Sprintf("log index %d is applied after %d", index, s.Applied))
+	}
+	s.Applied = index
+	s.NowMs = max(s.NowMs, b.NowMs)
+	outcomes := make([]Outcome, len(b.Commands))
+	for i, c := range b.Commands {
+		outcomes[i] = s.apply(c)
+	}
+	s.expireClaims()
+	s.expireJobs()
+	return outcomes
+}
+
+func (s *State) apply(c Command) Outcome {
+	switch c := c.(type) {
+	case SignOff:
+		return s.signOff(c)
+	case RollOut:
+		return s.rollOut(c)
+	case OpenSession:
+		return s.openSession(c)
+	case CloseSession:
+		return s.closeSession(c)
+	case AnnounceRunner:
+		return s.announceRunner(c)
+	case MarkRunnerAbsent:
+		return s.markRunnerAbsent(c)
+	case ForgetRunner:
+		return s.forgetRunner(c)
+	case SetGrants:
+		return s.setGrants(c)
+	case Surrender:
+		return s.surrender(c)
+	case AnnounceWorker:
+		return s.announceWorker(c)
+	case FenceWorker:
+		return s.fenceWorker(c)
+	case LoseWorker:
+		return s.loseWorker(c)
+	case DrainWorker:
+		return s.drainWorker(c)
+	case SubmitJob:
+		return s.submitJob(c)
+	case CancelJob:
+		return s.cancelJob(c)
+	case StartTask:
+		return s.startTask(c)
+	case EvictTask:
+		return s.evictTask(c)
+	case ReportTask:
+		return s.reportTask(c)
+	case MakeClaim:
+		return s.makeClaim(c)
+	case FinishClaim:
+		return s.finishClaim(c)
+	}
+	panic(fmt.Sprintf("command of unknown type %T", c))
+}
+
+// Bundle returns the version in force, or nil before the first roll-out.
+func (s *State) Bundle() *tbbundle.Bundle { return s.Bundles[s.InForce] }
+
+// Reserved returns what the placed tasks of a worker hold.
+func (s *State) Reserved(worker string) tbresource.Amount { return s.reserved[worker] }
+
+// TeamUse returns what the placed tasks of a team hold.
+func (s *State) TeamUse(team string) tbresource.Amount { return s.teamUse[team] }
+
+// TasksOn returns the placed jobs of a worker ordered by submission.
+func (s *State) TasksOn(worker string) []*Job {
+	jobs := slices.Collect(maps.Values(s.tasks[worker]))
+	slices.SortFunc(jobs, bySeq)
+	return jobs
+}
+
+// TaskCount returns the number of placed jobs of a worker.
+func (s *State) TaskCount(worker string) int { return len(s.tasks[worker]) }
+
+// EachQueued calls visit for each queued job, urgent first, then by rank and submission, until it returns false.
+func (s *State) EachQueued(visit func(*Job) bool) { s.queued.each(visit) }
+
+// QueuedCount returns the number of queued jobs.
+func (s *State) QueuedCount() int { return s.queued.count }
+
+// SessionKeys returns the keys of all sessions in order.
+func (s *State) SessionKeys() []string { return slices.Sorted(maps.Keys(s.Sessions)) }
+
+// RunnerIDs returns the ids of all runners in order.
+func (s *State) RunnerIDs() []string { return slices.Sorted(maps.Keys(s.Runners)) }
+
+// WorkerIDs returns the ids of all workers in order.
+func (s *State) WorkerIDs() []string { return slices.Sorted(maps.Keys(s.Workers)) }
+
+func bySeq(a, b *Job) int {
+	switch {
+	case a.Seq < b.Seq:
+		return -1
+	case a.Seq > b.Seq:
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/io/tbbundlefile/doc.go
@@ -0,0 +1,2 @@
+// Package tbbundlefile reads bundles from TOML files.
+package tbbundlefile
--- /dev/null
+++ b/io/tbcodec/record.go
@@ -0,0 +1,141 @@
+package tbcodec
+
+import (
+	"tamarackbarrow/core/tbbundle"
+	"tamarackbarrow/core/tbstate"
+	pb "tamarackbarrow/io/tbproto/v1"
+)
+
+// BundleToWire maps a bundle to its source, from which it is read again.
+func BundleToWire(b tbbundle.Bundle) *pb.SignOffCommand {
+	return &pb.SignOffCommand{Version: b.Version, Digest: b.Digest, Source: b.Source}
+}
+
+// BundleFromWire reads a bundle from its source.
+func (c *Codec) BundleFromWire(m *pb.SignOffCommand) (tbbundle.Bundle, error) {
+	return c.parse(m.GetSource())
+}
+
+// SessionToWire maps a session.
+func SessionToWire(s tbstate.Session) *pb.EntryRecord {
+	return &pb.EntryRecord{Session: s.Key, Id: s.ID, DataCentre: s.DataCentre, Address: s.Address, Changed: s.Changed}
+}
+
+// SessionFromWire maps a session.
+func SessionFromWire(m *pb.EntryRecord) tbstate.Session {
+	return tbstate.Session{
+		Key: m.GetSession(), ID: m.GetId(), DataCentre: m.GetDataCentre(), Address: m.GetAddress(), Changed: m.GetChanged(),
+	}
+}
+
+// RunnerToWire maps a runner with its grants.
+func RunnerToWire(r tbstate.Runner) *pb.RunnerRecord {
+	m := &pb.RunnerRecord{
+		Id: r.ID, Incarnation: r.Incarnation, Address: r.Address, DataCentre: r.DataCentre,
+		Service: r.Service, Slots: uint32(r.Slots), Phase: string(r.Phase), Changed: r.Changed,
+	}
+	for _, g := range r.Grants {
+		m.Grants = append(m.Grants, &pb.GrantRecord{
+			Session: g.Session, Granted: uint32(g.Granted), Target: uint32(g.Target), Changed: g.Changed,
+		})
+	}
+	return m
+}
+
+// RunnerFromWire maps a runner with its grants.
+func RunnerFromWire(m *pb.RunnerRecord) tbstate.Runner {
+	r := tbstate.Runner{
+		ID: m.GetId(), Incarnation: m.GetIncarnation(), Address: m.GetAddress(), DataCentre: m.GetDataCentre(),
+		Service: m.GetService(), Slots: int(m.GetSlots()), Phase: tbstate.RunnerPhase(m.GetPhase()), Changed: m.GetChanged(),
+	}
+	for _, g := range m.GetGrants() {
+		r.Grants = append(r.Grants, tbstate.Grant{
+			Session: g.GetSession(), Granted: int(g.GetGranted()), Target: int(g.GetTarget()), Changed: g.GetChanged(),
+		})
+	}
+	return r
+}
+
+// WorkerToWire maps a worker.
+func WorkerToWire(w tbstate.Worker) *pb.WorkerRecord {
+	return &pb.WorkerRecord{
+		Id: w.ID, Incarnation: w.Incarnation, Address: w.Address, DataCentre: w.DataCentre, Rack: w.Rack,
+		Capacity: AmountToWire(w.Capacity), Phase: string(w.Phase), Changed: w.Changed,
+		Failures: uint32(w.Failures), ProbationUntilMs: w.ProbationUntilMs,
+	}
+}
+
+// WorkerFromWire maps a worker.
+func WorkerFromWire(m *pb.WorkerRecord) tbstate.Worker {
+	return tbstate.Worker{
+		ID: m.GetId(), Incarnation: m.GetIncarnation(), Address: m.GetAddress(), DataCentre: m.GetDataCentre(),
+		Rack: m.GetRack(), Capacity: AmountFromWire(m.GetCapacity()), Phase: tbstate.WorkerPhase(m.GetPhase()),
+		Changed: m.GetChanged(), Failures: int(m.GetFailures()), ProbationUntilMs: m.GetProbationUntilMs(),
+	}
+}
+
+// JobToWire maps a job.
+func JobToWire(j tbstate.Job) *pb.JobRecord {
+	return &pb.JobRecord{
+		Id: j.ID, Kind: j.Kind, Team: j.Team, Payload: j.Payload, Urgent: j.Urgent,
+		Resources: AmountToWire(j.Resources), Rank: uint32(j.Rank), Phase: string(j.Phase), Reason: string(j.Reason),
+		Worker: j.Worker, WorkerIncarnation: j.WorkerIncarnation, Epoch: j.Epoch, Checkpoint: j.Checkpoint,
+		Evictions: uint32(j.Evictions), Failures: uint32(j.Failures), Cancelled: j.Cancelled, LongClass: j.LongClass,
+		SubmittedMs: j.SubmittedMs, StartedMs: j.StartedMs, EndedMs: j.EndedMs, RanMs: uint64(j.RanMs),
+		Seq: j.Seq, Changed: j.Changed,
+	}
+}
+
+// JobFromWire maps a job.
+func JobFromWire(m *pb.JobRecord) tbstate.Job {
+	return tbstate.Job{
+		ID: m.GetId(), Kind: m.GetKind(), Team: m.GetTeam(), Payload: m.GetPayload(), Urgent: m.GetUrgent(),
+		Resources: AmountFromWire(m.GetResources()), Rank: int(m.GetRank()),
+		Phase: tbstate.JobPhase(m.GetPhase()), Reason: tbstate.Reason(m.GetReason()),
+		Worker: m.GetWorker(), WorkerIncarnation: m.GetWorkerIncarnation(), Epoch: m.GetEpoch(), Checkpoint: m.GetCheckpoint(),
+		Evictions: int(m.GetEvictions()), Failures: int(m.GetFailures()), Cancelled: m.GetCancelled(), LongClass: m.GetLongClass(),
+		SubmittedMs: m.GetSubmittedMs(), StartedMs: m.GetStartedMs(), EndedMs: m.GetEndedMs(), RanMs: int64(m.GetRanMs()),
+		Seq: m.GetSeq(), Changed: m.GetChanged(),
+	}
+}
+
+// ClaimToWire maps a claim; a nil claim stays nil.
+func ClaimToWire(c *tbstate.Claim) *pb.ClaimRecord {
+	if c == nil {
+		return nil
+	}
+	return &pb.ClaimRecord{
+		Key: claimKeyToWire(c.Key), Session: c.Session, Attempt: c.Attempt, Status: uint32(c.Status),
+		Answer: c.Answer, Reason: c.Reason, AtMs: c.ExpiresMs, RetentionMs: c.RetentionMs,
+	}
+}
+
+// ClaimFromWire maps a claim; a nil claim stays nil.
+func ClaimFromWire(m *pb.ClaimRecord) *tbstate.Claim {
+	if m == nil {
+		return nil
+	}
+	return &tbstate.Claim{
+		Key: claimKeyFromWire(m.GetKey()), Session: m.GetSession(), Attempt: m.GetAttempt(),
+		Status: tbstate.ClaimStatus(m.GetStatus()), Answer: m.GetAnswer(), Reason: m.GetReason(),
+		ExpiresMs: m.GetAtMs(), RetentionMs: m.GetRetentionMs(),
+	}
+}
+
+// OutcomesToWire maps the outcomes of commands.
+func OutcomesToWire(outcomes []tbstate.Outcome) []*pb.CommandOutcome {
+	wire := make([]*pb.CommandOutcome, len(outcomes))
+	for i, o := range outcomes {
+		wire[i] = &pb.CommandOutcome{Reason: string(o.Reason), Detail: o.Detail, Claim: ClaimToWire(o.Claim)}
+	}
+	return wire
+}
+
+// OutcomesFromWire maps the outcomes of commands.
+func OutcomesFromWire(wire []*pb.CommandOutcome) []tbstate.Outcome {
+	outcomes := make([]tbstate.Outcome, len(wire))
+	for i, m := range wire {
+		outcomes[i] = tbstate.Outcome{Reason: tbstate.Reason(m.GetReason()), Detail: m.GetDetail(), Claim: ClaimFromWire(m.GetClaim())}
+	}
+	return outcomes
+}
--- /dev/null
+++ b/io/tbcommand/doc.go
@@ -0,0 +1,2 @@
+// Package tbcommand is the command line of tamarackbarrow.
+package tbcommand
--- /dev/null
+++ b/io/tbdaemon/api.go
@@ -0,0 +1,261 @@
+package tbdaemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"tamarackbarrow/core/tbentry"
+	"tamarackbarrow/core/tbnode"
+	"tamarackbarrow/core/tbstate"
+	"tamarackbarrow/io/tbbundlefile"
+	pb "tamarackbarrow/io/tbproto/v1"
+	"tamarackbarrow/io/tbproto/v1/tbprotov1connect"
+)
+
+// commitWithin bounds the wait of callers and operators for a commit.
+const commitWithin = 5 * time.Second
+
+// maxRequestBytes bounds one request of a caller.
+const maxRequestBytes = 4 << 20
+
+// httpServer serves callers, backend servers and operators over HTTP/1.1 and unencrypted HTTP/2.
+func (d *Daemon) httpServer() *http.Server {
+	mux := http.NewServeMux()
+	limit := connect.WithReadMaxBytes(maxRequestBytes)
+	mux.Handle(tbprotov1connect.NewCallerServiceHandler(&callerHandler{d: d}, limit))
+	mux.Handle(tbprotov1connect.NewJobServiceHandler(&jobHandler{d: d}, limit))
+	mux.Handle(tbprotov1connect.NewBackendServiceHandler(&backendHandler{d: d}, limit))
+	mux.Handle(tbprotov1connect.NewOperatorServiceHandler(&operatorHandler{d: d}, limit))
+	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "alive") })
+	mux.HandleFunc("/readyz", d.serveReady)
+	mux.Handle("/debug/vars", d.counters)
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler: mux, Protocols: &protocols,
+		ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 2 * time.Minute,
+		HTTP2: &http.HTTP2Config{SendPingTimeout: 5 * time.Second, PingTimeout: 2 * time.Second, MaxConcurrentStreams: 1000},
+	}
+}
+
+func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !d.ready.Load() {
+		http.Error(w, "takes no new calls", http.StatusServiceUnavailable)
+		return
+	}
+	fmt.Fprintln(w, "ready")
+}
+
+// callerHandler serves callers.
+type callerHandler struct{ d *Daemon }
+
+// Call runs one request.
+func (h *callerHandler) Call(ctx context.Context, r *connect.Request[pb.CallRequest]) (*connect.Response[pb.CallResponse], error) {
+	if r.Msg.GetService() == "" || r.Msg.GetMethod() == "" {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("service and method must be set"))
+	}
+	outcome, err := h.d.call(ctx, callFromWire(r.Msg), false)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeCanceled, err)
+	}
+	return connect.NewResponse(outcomeToWire(outcome)), nil
+}
+
+// jobHandler serves those who submit jobs.
+type jobHandler struct{ d *Daemon }
+
+// Submit adds jobs; a resend of the same job is the same job.
+func (h *jobHandler) Submit(ctx context.Context, r *connect.Request[pb.SubmitRequest]) (*connect.Response[pb.SubmitResponse], error) {
+	var commands []tbstate.Command
+	for i, spec := range r.Msg.GetJobs() {
+		if spec.GetId() == "" || spec.GetKind() == "" || spec.GetTeam() == "" {
+			return nil, connect.NewError(connect.CodeInvalidArgument, fmt.Errorf("job %d: id, kind and team must be set", i))
+		}
+		commands = append(commands, tbstate.SubmitJob{Job: tbstate.Job{
+			ID: spec.GetId(), Kind: spec.GetKind(), Team: spec.GetTeam(), Payload: spec.GetPayload(), Urgent: spec.GetUrgent(),
+		}})
+	}
+	results, err := h.d.commit(ctx, commands)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&pb.SubmitResponse{Results: results}), nil
+}
+
+// Cancel ends jobs.
+func (h *jobHandler) Cancel(ctx context.Context, r *connect.Request[pb.CancelRequest]) (*connect.Response[pb.CancelResponse], error) {
+	var commands []tbstate.Command
+	for _, id := range r.Msg.GetIds() {
+		commands = append(commands, tbstate.CancelJob{ID: id})
+	}
+	results, err := h.d.commit(ctx, commands)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&pb.CancelResponse{Results: results}), nil
+}
+
+// Status tells the phases of jobs.
+func (h *jobHandler) Status(ctx context.Context, r *connect.Request[pb.JobStatusRequest]) (*connect.Response[pb.JobStatusResponse], error) {
+	answer, err := h.d.query(ctx, &pb.QueryRequest{Jobs: r.Msg.GetIds()})
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&pb.JobStatusResponse{Jobs: answer.GetJobs()}), nil
+}
+
+// commit submits commands and waits until they are applied.
+func (d *Daemon) commit(ctx context.Context, commands []tbstate.Command) ([]*pb.CommandResult, error) {
+	if len(commands) == 0 {
+		return nil, nil
+	}
+	answer, _, err := ask[tbentry.AnswerCommands](d, ctx, func(id uint64) tbnode.Event {
+		return tbnode.Event{Entry: tbentry.CommandsSubmitted{Request: id, Commands: commands, Within: commitWithin}}
+	})
+	if err != nil {
+		return nil, connect.NewError(connect.CodeCanceled, err)
+	}
+	if answer.Reason != tbentry.NoReason {
+		d.counters.add("refused." + string(answer.Reason))
+		err := fmt.Errorf("%s: no confirmed leader answered; the change may have been made, and sending it again is safe", answer.Reason)
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	results := make([]*pb.CommandResult, len(answer.Outcomes))
+	for i, o := range answer.Outcomes {
+		results[i] = &pb.CommandResult{Reason: string(o.Reason), Detail: o.Detail}
+		if o.Reason != tbstate.OK {
+			d.counters.add("refused." + string(o.Reason))
+		}
+	}
+	return results, nil
+}
+
+// backendHandler serves runners and workers.
+type backendHandler struct{ d *Daemon }
+
+// AnnounceRunner makes a runner known.
+func (h *backendHandler) AnnounceRunner(ctx context.Context, r *connect.Request[pb.AnnounceRunnerRequest]) (*connect.Response[pb.AnnounceRunnerResponse], error) {
+	m := r.Msg
+	if m.GetId() == "" || m.GetIncarnation() == 0 || m.GetAddress() == "" || m.GetService() == "" || m.GetSlots() == 0 {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("id, incarnation, address, service and slots must be set"))
+	}
+	answer, _, err := ask[tbentry.AnswerRunner](h.d, ctx, func(id uint64) tbnode.Event {
+		return tbnode.Event{Entry: tbentry.RunnerAnnounced{Request: id, Runner: runnerFromAnnouncement(m)}}
+	})
+	if err != nil {
+		return nil, connect.NewError(connect.CodeCanceled, err)
+	}
+	return connect.NewResponse(&pb.AnnounceRunnerResponse{Reason: string(answer.Reason)}), nil
+}
+
+// AnnounceWorker makes a worker known, takes its reports and answers with its orders.
+func (h *backendHandler) AnnounceWorker(ctx context.Context, r *connect.Request[pb.AnnounceWorkerRequest]) (*connect.Response[pb.AnnounceWorkerResponse], error) {
+	m := r.Msg
+	if m.GetId() == "" || m.GetIncarnation() == 0 || m.GetAddress() == "" || m.GetCapacity() == nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("id, incarnation, address and capacity must be set"))
+	}
+	announced := tbentry.WorkerAnnounced{Worker: workerFromAnnouncement(m), ClockMs: m.GetClockMs()}
+	for _, t := range m.GetTasks() {
+		announced.Reports = append(announced.Reports, reportFromWire(t))
+	}
+	answer, _, err := ask[tbentry.AnswerWorker](h.d, ctx, func(id uint64) tbnode.Event {
+		announced.Request = id
+		return tbnode.Event{Entry: announced}
+	})
+	if err != nil {
+		return nil, connect.NewError(connect.CodeCanceled, err)
+	}
+	return connect.NewResponse(&pb.AnnounceWorkerResponse{
+		Orders: ordersToWire(answer.Orders), Reason: string(answer.Reason),
+	}), nil
+}
+
+// operatorHandler serves the command line.
+type operatorHandler struct{ d *Daemon }
+
+// SignOff stores a checked bundle under its version.
+func (h *operatorHandler) SignOff(ctx context.Context, r *connect.Request[pb.SignOffRequest]) (*connect.Response[pb.SignOffResponse], error) {
+	b, err := tbbundlefile.Parse("bundle", r.Msg.GetSource())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	results, err := h.d.commit(ctx, []tbstate.Command{tbstate.SignOff{Bundle: b}})
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&pb.SignOffResponse{Version: b.Version, Digest: b.Digest, Result: results[0]}), nil
+}
+
+// RollOut puts a signed-off version in force.
+func (h *operatorHandler) RollOut(ctx context.Context, r *connect.Request[pb.RollOutRequest]) (*connect.Response[pb.RollOutResponse], error) {
+	results, err := h.d.commit(ctx, []tbstate.Command{tbstate.RollOut{Version: r.Msg.GetVersion()}})
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&pb.RollOutResponse{Result: results[0]}), nil
+}
+
+// Drain evicts a worker's tasks and keeps new ones away.
+func (h *operatorHandler) Drain(ctx context.Context, r *connect.Request[pb.DrainRequest]) (*connect.Response[pb.DrainResponse], error) {
+	results, err := h.d.commit(ctx, []tbstate.Command{tbstate.DrainWorker{ID: r.Msg.GetWorker()}})
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&pb.DrainResponse{Result: results[0]}), nil
+}
+
+// ChangeMember changes the control group by one replica.
+func (h *operatorHandler) ChangeMember(ctx context.Context, r *connect.Request[pb.ChangeMemberRequest]) (*connect.Response[pb.ChangeMemberResponse], error) {
+	answer, err := h.d.query(ctx, &pb.QueryRequest{Change: r.Msg})
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&pb.ChangeMemberResponse{Result: answer.GetChange()}), nil
+}
+
+// Status tells what the leader knows and what this entry counted.
+func (h *operatorHandler) Status(ctx context.Context, _ *connect.Request[pb.StatusRequest]) (*connect.Response[pb.StatusResponse], error) {
+	answer, err := h.d.query(ctx, &pb.QueryRequest{Status: true})
+	if err != nil {
+		return nil, err
+	}
+	m := answer.GetStatus()
+	m.Entry = h.d.settings.ID
+	m.QueuedCalls = uint64(h.d.queued.Load())
+	for _, c := range h.d.counters.all() {
+		m.Reasons = append(m.Reasons, &pb.ReasonCount{Reason: c.name, Count: c.value})
+	}
+	return connect.NewResponse(m), nil
+}
+
+// Times of questions to the leader.
+const (
+	queryWithin = 500 * time.Millisecond
+	queryPause  = 30 * time.Millisecond
+)
+
+// query asks the leader and goes on asking while there is none.
+func (d *Daemon) query(ctx context.Context, m *pb.QueryRequest) (*pb.QueryResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, commitWithin)
+	defer cancel()
+	for {
+		address, _ := d.target.Load().(string)
+		if address != "" {
+			answer, err := d.peers.Query(ctx, address, queryWithin, m)
+			if err == nil && !answer.GetNotLeader() {
+				return answer, nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return nil, connect.NewError(connect.CodeUnavailable, errors.New("no confirmed leader answered"))
+		case <-time.After(queryPause):
+		}
+	}
+}
--- /dev/null
+++ b/io/tbdaemon/counters.go
@@ -0,0 +1,56 @@
+package tbdaemon
+
+import (
+	"expvar"
+	"fmt"
+	"net/http"
+	"runtime/metrics"
+	"sort"
+	"strings"
+)
+
+// counters holds one counter for each reason of refusal, retry and unknown outcome.
+type counters struct {
+	vars *expvar.Map
+}
+
+func newCounters() *counters {
+	return &counters{vars: new(expvar.Map).Init()}
+}
+
+// add counts one under a name such as "refused.noLease".
+func (c *counters) add(name string) { c.vars.Add(name, 1) }
+
+// namedCount is the value of one counter.
+type namedCount struct {
+	name  string
+	value uint64
+}
+
+// all returns every counter in order of its name.
+func (c *counters) all() []namedCount {
+	var counts []namedCount
+	c.vars.Do(func(kv expvar.KeyValue) {
+		if v, ok := kv.Value.(*expvar.Int); ok {
+			counts = append(counts, namedCount{name: kv.Key, value: uint64(v.Value())})
+		}
+	})
+	sort.Slice(counts, func(i, j int) bool { return counts[i].name < counts[j].name })
+	return counts
+}
+
+// ServeHTTP writes all counters and a few figures of the process as JSON.
+func (c *counters) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	samples := []metrics.Sample{
+		{Name: "/memory/classes/heap/objects:bytes"},
+		{Name: "/sched/goroutines:goroutines"},
+	}
+	metrics.Read(samples)
+	lines := []string{
+		fmt.Sprintf("%q: %s", "counters", c.vars.String()),
+		fmt.Sprintf("%q: %d", "heapBytes", samples[0].Value.Uint64()),
+		fmt.Sprintf("%q: %d", "goroutines", samples[1].Value.Uint64()),
+	}
+	fmt.Fprintf(w, "{\n%s\n}\n", strings.Join(lines, ",\n"))
+}
--- /dev/null
+++ b/io/tbdaemon/effects.go
@@ -0,0 +1,205 @@
+package tbdaemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"tamarackbarrow/core/tbconsensus"
+	"tamarackbarrow/core/tbcontrol"
+	"tamarackbarrow/core/tbentry"
+	"tamarackbarrow/core/tbnode"
+	"tamarackbarrow/io/tbcodec"
+	"tamarackbarrow/io/tbpeer"
+	pb "tamarackbarrow/io/tbproto/v1"
+	"tamarackbarrow/io/tbproto/v1/tbprotov1connect"
+)
+
+// Time limits of requests to other processes.
+const (
+	syncWithin    = 400 * time.Millisecond
+	proposeWithin = time.Second
+	pushWithin    = 500 * time.Millisecond
+	// handoverMargin is the time that a peer's answer may be under way.
+	handoverMargin = 200 * time.Millisecond
+)
+
+// perform carries out effects; nothing in it waits.
+func (d *Daemon) perform(effects []tbnode.Effect) {
+	for _, e := range effects {
+		if e.Entry != nil {
+			d.performEntry(e.Entry)
+		}
+		if e.Control != nil {
+			d.performControl(e.Control)
+		}
+	}
+}
+
+func (d *Daemon) performEntry(e tbentry.Effect) {
+	switch e := e.(type) {
+	case tbentry.AnswerCall:
+		d.reply(e.ID, e.Outcome)
+	case tbentry.StartRun:
+		go d.startRun(e)
+	case tbentry.StartHandover:
+		go d.startHandover(e)
+	case tbentry.SendProposal:
+		go d.sendProposal(e)
+	case tbentry.SendSync:
+		go d.sendSync(e)
+	case tbentry.AnswerRunner:
+		d.reply(e.Request, e)
+	case tbentry.AnswerWorker:
+		d.reply(e.Request, e)
+	case tbentry.PushOrders:
+		go d.pushOrders(e)
+	case tbentry.AnswerCommands:
+		d.reply(e.Request, e)
+	case tbentry.Count:
+		d.count(e.Counter)
+	case tbentry.Stopped:
+		close(d.stopped)
+	default:
+		panic(fmt.Sprintf("effect of unknown type %T", e))
+	}
+}
+
+func (d *Daemon) count(c tbentry.Counter) {
+	name := c.Group
+	if c.Reason != tbentry.NoReason {
+		name += "." + string(c.Reason)
+	}
+	d.counters.add(name)
+}
+
+func (d *Daemon) performControl(e tbcontrol.Effect) {
+	switch e := e.(type) {
+	case tbcontrol.SendMessages:
+		d.publishMembers()
+		d.sendMessages(e.Messages)
+	case tbcontrol.Save:
+		d.publishMembers()
+		d.storage.add(storageJob{save: &e})
+	case tbcontrol.SaveSnapshot:
+		d.storage.add(storageJob{snapshot: &e.Snapshot})
+	case tbcontrol.AnswerProposal:
+		d.reply(e.Request, e)
+	case tbcontrol.AnswerSync:
+		d.reply(e.Request, e)
+	case tbcontrol.AnswerJobs:
+		d.reply(e.Request, e)
+	case tbcontrol.AnswerStatus:
+		d.reply(e.Request, e)
+	case tbcontrol.AnswerMemberChange:
+		d.reply(e.Request, e)
+	case tbcontrol.Log:
+		d.log.Info(e.Message, "detail", e.Detail)
+	default:
+		panic(fmt.Sprintf("effect of unknown type %T", e))
+	}
+}
+
+// publishMembers lets the storage goroutine resolve replica ids.
+func (d *Daemon) publishMembers() {
+	d.members.Store(d.node.Control.Replica().Members().Members)
+}
+
+func (d *Daemon) startRun(run tbentry.StartRun) {
+	requestID := fmt.Sprintf("%s/%d/%d", d.settings.ID, d.started, run.Attempt)
+	ended := d.runners.Run(d.ctx, requestID, run)
+	d.push(tbnode.Event{Entry: ended})
+}
+
+func (d *Daemon) startHandover(h tbentry.StartHandover) {
+	answer, err := d.peers.Handover(d.ctx, h.Address, h.Left+handoverMargin, &pb.HandoverRequest{
+		Call: callToWire(h.Call), LeftMs: uint32(max(1, h.Left.Milliseconds())),
+	})
+	ended := tbentry.HandoverEnded{ID: h.ID}
+	var notSent *tbpeer.NotSentError
+	switch {
+	case errors.As(err, &notSent):
+		ended.NotSent = true
+	case err != nil:
+		ended.Lost = true
+	default:
+		ended.Outcome = outcomeFromWire(answer)
+	}
+	d.push(tbnode.Event{Entry: ended})
+}
+
+func (d *Daemon) sendProposal(p tbentry.SendProposal) {
+	ended := tbentry.ProposalEnded{ID: p.ID}
+	answer, err := d.propose(d.ctx, p)
+	if err != nil {
+		ended.Failed = true
+	} else {
+		ended.NotLeader, ended.Leader, ended.Outcomes = answer.NotLeader, answer.Leader, answer.Outcomes
+	}
+	d.push(tbnode.Event{Entry: ended})
+}
+
+// propose asks the own control role directly and any other over the network.
+func (d *Daemon) propose(ctx context.Context, p tbentry.SendProposal) (tbcontrol.AnswerProposal, error) {
+	if d.isOwnControl(p.Address) {
+		ctx, cancel := context.WithTimeout(ctx, proposeWithin)
+		defer cancel()
+		answer, _, err := ask[tbcontrol.AnswerProposal](d, ctx, func(id uint64) tbnode.Event {
+			return tbnode.Event{Control: tbcontrol.ProposalArrived{Request: id, Commands: p.Commands}}
+		})
+		return answer, err
+	}
+	wire, err := d.peers.Propose(ctx, p.Address, proposeWithin, &pb.ProposeRequest{Commands: tbcodec.CommandsToWire(p.Commands)})
+	if err != nil {
+		return tbcontrol.AnswerProposal{}, err
+	}
+	return tbcontrol.AnswerProposal{
+		NotLeader: wire.GetNotLeader(), Leader: tbconsensus.ReplicaID(wire.GetLeader()),
+		Outcomes: tbcodec.OutcomesFromWire(wire.GetOutcomes()),
+	}, nil
+}
+
+func (d *Daemon) isOwnControl(address string) bool {
+	return d.node.Control != nil && address == d.settings.PeerAddress
+}
+
+func (d *Daemon) sendSync(s tbentry.SendSync) {
+	ended := tbentry.SyncEnded{SentAt: s.SentAt}
+	answer, err := d.sync(d.ctx, s)
+	if err != nil {
+		ended.Failed = true
+		d.counters.add("control.syncFailed")
+	} else {
+		ended.NotLeader, ended.Leader, ended.View = answer.NotLeader, answer.Leader, answer.View
+	}
+	d.push(tbnode.Event{Entry: ended})
+}
+
+func (d *Daemon) sync(ctx context.Context, s tbentry.SendSync) (tbcontrol.AnswerSync, error) {
+	if d.isOwnControl(s.Address) {
+		ctx, cancel := context.WithTimeout(ctx, syncWithin)
+		defer cancel()
+		answer, _, err := ask[tbcontrol.AnswerSync](d, ctx, func(id uint64) tbnode.Event {
+			return tbnode.Event{Control: tbcontrol.SyncArrived{Request: id, Sync: s.Sync}}
+		})
+		return answer, err
+	}
+	wire, err := d.peers.Sync(ctx, s.Address, syncWithin, tbcodec.SyncToWire(s.Sync))
+	if err != nil {
+		return tbcontrol.AnswerSync{}, err
+	}
+	return d.codec.SyncAnswerFromWire(wire)
+}
+
+func (d *Daemon) pushOrders(p tbentry.PushOrders) {
+	ctx, cancel := context.WithTimeout(d.ctx, pushWithin)
+	defer cancel()
+	client := tbprotov1connect.NewWorkerServiceClient(d.backends, "http://"+p.Address)
+	if _, err := client.Apply(ctx, connect.NewRequest(&pb.ApplyRequest{Orders: ordersToWire(p.Orders)})); err != nil {
+		// The worker's next announcement brings the same orders.
+		d.counters.add("workers.pushFailed")
+	}
+}
--- /dev/null
+++ b/io/tbdaemon/outbox.go
@@ -0,0 +1,97 @@
+package tbdaemon
+
+import (
+	"time"
+
+	"tamarackbarrow/core/tbconsensus"
+	"tamarackbarrow/io/tbcodec"
+	pb "tamarackbarrow/io/tbproto/v1"
+)
+
+// Limits of messages between replicas.
+const (
+	deliverWithin   = 300 * time.Millisecond
+	outboxSize      = 4096
+	maxDeliverBytes = 2 << 20
+)
+
+// outbox sends consensus messages to one address in order; it may lose them.
+type outbox struct {
+	messages chan *pb.ConsensusMessage
+}
+
+func (d *Daemon) addressOf(id tbconsensus.ReplicaID) string {
+	for _, m := range d.members.Load().([]tbconsensus.Member) {
+		if m.ID == id {
+			return m.Address
+		}
+	}
+	return ""
+}
+
+// sendMessages queues messages; the group's protocol sends again what is lost.
+func (d *Daemon) sendMessages(messages []tbconsensus.Message) {
+	for _, m := range messages {
+		address := d.addressOf(m.To)
+		if address == "" {
+			continue
+		}
+		select {
+		case d.outbox(address).messages <- tbcodec.MessageToWire(m):
+		default:
+			d.counters.add("peers.messageDropped")
+		}
+	}
+}
+
+func (d *Daemon) outbox(address string) *outbox {
+	d.outboxMu.Lock()
+	defer d.outboxMu.Unlock()
+	o := d.outboxes[address]
+	if o == nil {
+		o = &outbox{messages: make(chan *pb.ConsensusMessage, outboxSize)}
+		d.outboxes[address] = o
+		d.goRun(func() { d.deliverLoop(address, o) })
+	}
+	return o
+}
+
+func (d *Daemon) deliverLoop(address string, o *outbox) {
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case first := <-o.messages:
+			batch := gather(first, o.messages)
+			err := d.peers.Deliver(d.ctx, address, deliverWithin, &pb.DeliverRequest{Messages: batch})
+			if err != nil {
+				d.counters.add("peers.deliverFailed")
+				d.log.Debug("messages to replica lost", "address", address, "error", err)
+			}
+		}
+	}
+}
+
+// gather takes what is at hand, up to a bounded size.
+func gather(first *pb.ConsensusMessage, more <-chan *pb.ConsensusMessage) []*pb.ConsensusMessage {
+	batch := []*pb.ConsensusMessage{first}
+	size := messageBytes(first)
+	for size < maxDeliverBytes {
+		select {
+		case m := <-more:
+			batch = append(batch, m)
+			size += messageBytes(m)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func messageBytes(m *pb.ConsensusMessage) int {
+	size := len(m.GetChunk())
+	for _, e := range m.GetEntries() {
+		size += len(e.GetData())
+	}
+	return size
+}
--- /dev/null
+++ b/io/tbdaemon/peers.go
@@ -0,0 +1,153 @@
+package tbdaemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"tamarackbarrow/core/tbconsensus"
+	"tamarackbarrow/core/tbcontrol"
+	"tamarackbarrow/core/tbentry"
+	"tamarackbarrow/core/tbnode"
+	"tamarackbarrow/io/tbcodec"
+	pb "tamarackbarrow/io/tbproto/v1"
+)
+
+// peerHandler answers the other processes of the system.
+type peerHandler struct{ d *Daemon }
+
+var errNoControl = merry.New("this instance has no control role")
+
+// Deliver takes messages of other replicas.
+func (h *peerHandler) Deliver(_ context.Context, m *pb.DeliverRequest) (*pb.DeliverResponse, error) {
+	if h.d.node.Control == nil {
+		return nil, errNoControl
+	}
+	var messages []tbconsensus.Message
+	for _, wire := range m.GetMessages() {
+		message, err := tbcodec.MessageFromWire(wire)
+		if err != nil {
+			return nil, merry.Prepend(err, "message between replicas")
+		}
+		messages = append(messages, message)
+	}
+	h.d.push(tbnode.Event{Control: tbcontrol.MessagesArrived{Messages: messages}})
+	return &pb.DeliverResponse{}, nil
+}
+
+// Propose commits commands if this replica leads.
+func (h *peerHandler) Propose(ctx context.Context, m *pb.ProposeRequest) (*pb.ProposeResponse, error) {
+	if h.d.node.Control == nil {
+		return nil, errNoControl
+	}
+	commands, err := h.d.codec.CommandsFromWire(m.GetCommands())
+	if err != nil {
+		return nil, merry.Prepend(err, "proposal")
+	}
+	answer, _, err := ask[tbcontrol.AnswerProposal](h.d, ctx, func(id uint64) tbnode.Event {
+		return tbnode.Event{Control: tbcontrol.ProposalArrived{Request: id, Commands: commands}}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &pb.ProposeResponse{
+		Leader: uint64(answer.Leader), NotLeader: answer.NotLeader, Outcomes: tbcodec.OutcomesToWire(answer.Outcomes),
+	}, nil
+}
+
+// Sync answers an entry's report with what changed.
+func (h *peerHandler) Sync(ctx context.Context, m *pb.SyncRequest) (*pb.SyncResponse, error) {
+	if h.d.node.Control == nil {
+		return nil, errNoControl
+	}
+	answer, _, err := ask[tbcontrol.AnswerSync](h.d, ctx, func(id uint64) tbnode.Event {
+		return tbnode.Event{Control: tbcontrol.SyncArrived{Request: id, Sync: tbcodec.SyncFromWire(m)}}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return tbcodec.SyncAnswerToWire(answer), nil
+}
+
+// Handover runs a call of a peer that has no free slot.
+func (h *peerHandler) Handover(ctx context.Context, m *pb.HandoverRequest) (*pb.CallResponse, error) {
+	call := callFromWire(m.GetCall())
+	call.Within = time.Duration(m.GetLeftMs()) * time.Millisecond
+	outcome, err := h.d.call(ctx, call, true)
+	if err != nil {
+		return nil, err
+	}
+	return outcomeToWire(outcome), nil
+}
+
+// Query answers for jobs, the status or a change of the control group.
+func (h *peerHandler) Query(ctx context.Context, m *pb.QueryRequest) (*pb.QueryResponse, error) {
+	if h.d.node.Control == nil {
+		return nil, errNoControl
+	}
+	switch {
+	case m.GetStatus():
+		return h.queryStatus(ctx)
+	case m.GetChange() != nil:
+		return h.changeMember(ctx, m.GetChange())
+	}
+	return h.queryJobs(ctx, m.GetJobs())
+}
+
+func (h *peerHandler) queryStatus(ctx context.Context) (*pb.QueryResponse, error) {
+	answer, _, err := ask[tbcontrol.AnswerStatus](h.d, ctx, func(id uint64) tbnode.Event {
+		return tbnode.Event{Control: tbcontrol.StatusQueried{Request: id}}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &pb.QueryResponse{
+		Leader: uint64(answer.Leader), NotLeader: answer.NotLeader, Status: tbcodec.StatusToWire(answer.Status),
+	}, nil
+}
+
+func (h *peerHandler) queryJobs(ctx context.Context, ids []string) (*pb.QueryResponse, error) {
+	answer, _, err := ask[tbcontrol.AnswerJobs](h.d, ctx, func(id uint64) tbnode.Event {
+		return tbnode.Event{Control: tbcontrol.JobsQueried{Request: id, IDs: ids}}
+	})
+	if err != nil {
+		return nil, err
+	}
+	m := &pb.QueryResponse{Leader: uint64(answer.Leader), NotLeader: answer.NotLeader}
+	for _, j := range answer.Jobs {
+		m.Jobs = append(m.Jobs, tbcodec.JobViewToWire(j))
+	}
+	return m, nil
+}
+
+func (h *peerHandler) changeMember(ctx context.Context, m *pb.ChangeMemberRequest) (*pb.QueryResponse, error) {
+	kinds := map[pb.MemberChange]tbcontrol.MemberChange{
+		pb.MemberChange_MEMBER_CHANGE_ADD_LEARNER: tbcontrol.AddLearner,
+		pb.MemberChange_MEMBER_CHANGE_PROMOTE:     tbcontrol.Promote,
+		pb.MemberChange_MEMBER_CHANGE_REMOVE:      tbcontrol.Remove,
+	}
+	answer, _, err := ask[tbcontrol.AnswerMemberChange](h.d, ctx, func(id uint64) tbnode.Event {
+		return tbnode.Event{Control: tbcontrol.MemberChangeArrived{
+			Request: id, Change: kinds[m.GetChange()], Replica: tbconsensus.ReplicaID(m.GetReplica()), Address: m.GetAddress(),
+		}}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &pb.QueryResponse{
+		Leader: uint64(answer.Leader), NotLeader: answer.NotLeader,
+		Change: &pb.CommandResult{Reason: string(answer.Refusal)},
+	}, nil
+}
+
+// call gives one request to the entry role and waits for its outcome.
+func (d *Daemon) call(ctx context.Context, call tbentry.Call, handover bool) (tbentry.Outcome, error) {
+	outcome, id, err := ask[tbentry.Outcome](d, ctx, func(id uint64) tbnode.Event {
+		return tbnode.Event{Entry: tbentry.CallArrived{ID: id, Call: call, Handover: handover}}
+	})
+	if err != nil {
+		d.push(tbnode.Event{Entry: tbentry.CallerLeft{ID: id}})
+	}
+	return outcome, err
+}
--- /dev/null
+++ b/io/tbpeer/server.go
@@ -0,0 +1,34 @@
+package tbpeer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	pb "tamarackbarrow/io/tbproto/v1"
+)
+
+// inactivityLimit is how long a server keeps a connection without a request.
+const inactivityLimit = 10 * time.Second
+
+// Serve answers peers on a listener until ctx ends.
+func Serve(ctx context.Context, l net.Listener, handler pb.DRPCPeerServiceServer) error {
+	mux := drpcmux.New()
+	if err := pb.DRPCRegisterPeerService(mux, handler); err != nil {
+		return err
+	}
+	options := drpcserver.Options{Manager: drpcmanager.Options{InactivityTimeout: inactivityLimit}}
+	return drpcserver.NewWithOptions(mux, options).Serve(ctx, l)
+}
+
+// Listen opens a listener whose connections are closed when the other side is gone.
+func Listen(address string) (net.Listener, error) {
+	cfg := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
+	}}
+	return cfg.Listen(context.Background(), "tcp", address)
+}
--- /dev/null
+++ b/io/tbrunnerclient/client.go
@@ -0,0 +1,90 @@
+package tbrunnerclient
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+
+	"tamarackbarrow/core/tbentry"
+	pb "tamarackbarrow/io/tbproto/v1"
+	"tamarackbarrow/io/tbproto/v1/tbprotov1connect"
+)
+
+// Times after which a connection to a backend server counts as silent.
+const (
+	pingAfter   = 400 * time.Millisecond
+	pingTimeout = 400 * time.Millisecond
+	dialTimeout = 500 * time.Millisecond
+)
+
+// NewHTTPClient returns a client for unencrypted HTTP/2 that finds silent connections by pings.
+func NewHTTPClient() *http.Client {
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Client{Transport: &http.Transport{
+		Protocols:   &protocols,
+		HTTP2:       &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
+	}}
+}
+
+// Client sends requests to runners.
+type Client struct {
+	http *http.Client
+}
+
+// New returns a client that uses the given HTTP client.
+func New(h *http.Client) *Client { return &Client{http: h} }
+
+// Run sends one request and returns how it ended.
+func (c *Client) Run(ctx context.Context, requestID string, run tbentry.StartRun) tbentry.RunEnded {
+	ctx, cancel := context.WithTimeout(ctx, run.GiveUp)
+	defer cancel()
+	var wrote atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteHeaderField: func(string, []string) { wrote.Store(true) },
+		WroteHeaders:     func() { wrote.Store(true) },
+	})
+	client := tbprotov1connect.NewRunnerServiceClient(c.http, "http://"+run.Address)
+	answer, err := client.Run(ctx, connect.NewRequest(&pb.RunRequest{
+		RequestId: requestID, Service: run.Call.Service, Method: run.Call.Method, Payload: run.Call.Payload,
+		DeadlineMs: uint32(run.Within.Milliseconds()), Incarnation: run.Incarnation,
+	}))
+	ended := tbentry.RunEnded{Attempt: run.Attempt}
+	switch {
+	case err != nil && connect.IsWireError(err):
+		ended.Kind, ended.Detail = tbentry.RunError, err.Error()
+	case err != nil && !wrote.Load():
+		ended.Kind, ended.Detail = tbentry.RunNotSent, err.Error()
+	case err != nil:
+		ended.Kind, ended.Detail = tbentry.RunLost, err.Error()
+	default:
+		check(&ended, requestID, answer.Msg)
+	}
+	return ended
+}
+
+// check accepts only the whole answer to this very request.
+func check(ended *tbentry.RunEnded, requestID string, m *pb.RunResponse) {
+	switch {
+	case m.GetRequestId() != requestID:
+		ended.Kind = tbentry.RunBadAnswer
+		ended.Detail = fmt.Sprintf("answer is for request %q", m.GetRequestId())
+	case m.GetRefused():
+		ended.Kind, ended.Detail = tbentry.RunRefused, m.GetReason()
+	case m.GetLength() != uint64(len(m.GetPayload())):
+		ended.Kind = tbentry.RunBadAnswer
+		ended.Detail = fmt.Sprintf("answer has %d of %d bytes", len(m.GetPayload()), m.GetLength())
+	case m.GetDigest() != xxhash.Sum64(m.GetPayload()):
+		ended.Kind, ended.Detail = tbentry.RunBadAnswer, "answer does not match its digest"
+	default:
+		ended.Kind, ended.Payload = tbentry.RunAnswered, m.GetPayload()
+	}
+}
--- /dev/null
+++ b/io/tbrunnerclient/doc.go
@@ -0,0 +1,2 @@
+// Package tbrunnerclient sends requests to runners and checks their answers.
+package tbrunnerclient
--- /dev/null
+++ b/io/tbscenario/scenario.go
@@ -0,0 +1,44 @@
+package tbscenario
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Env is what a scenario runs with.
+type Env struct {
+	// Binary is the path of the tamarackbarrow program.
+	Binary string
+	// Folder is empty at the start and is removed by the caller.
+	Folder string
+	Seed   uint64
+}
+
+// Scenario is one measurement.
+type Scenario struct {
+	Name  string
+	About string
+	Run   func(ctx context.Context, env Env, r *Report) error
+}
+
+// All returns every scenario in order of its name.
+func All() []Scenario {
+	all := []Scenario{
+		{Name: "demo", About: "the whole path: calls, jobs, evictions and resumes with 7 entries", Run: runDemo},
+	}
+	slices.SortFunc(all, func(a, b Scenario) int { return strings.Compare(a.Name, b.Name) })
+	return all
+}
+
+// Run runs the scenario of that name.
+func Run(ctx context.Context, name string, env Env) (*Report, error) {
+	for _, s := range All() {
+		if s.Name == name {
+			r := &Report{Scenario: name, Seed: env.Seed}
+			return r, s.Run(ctx, env, r)
+		}
+	}
+	return nil, fmt.Errorf("scenario %q does not exist", name)
+}
--- /dev/null
+++ b/io/tbstore/files.go
@@ -0,0 +1,97 @@
+package tbstore
+
+import (
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"syscall"
+)
+
+// File is what the store needs of an open file.
+type File interface {
+	io.Writer
+	Sync() error
+	Truncate(size int64) error
+	Close() error
+}
+
+// Files is what the store needs of a folder; tests put faults in between.
+type Files interface {
+	// Create makes or opens a file for appending.
+	Create(name string) (File, error)
+	ReadFile(name string) ([]byte, error)
+	List() ([]string, error)
+	Rename(from, to string) error
+	Remove(name string) error
+	// SyncFolder makes creations, renames and removals last.
+	SyncFolder() error
+}
+
+// Folder is a data folder on a disk, locked for one process.
+type Folder struct {
+	path string
+	lock *os.File
+}
+
+// OpenFolder creates the folder if needed and locks it.
+func OpenFolder(path string) (*Folder, error) {
+	if err := os.MkdirAll(path, 0o750); err != nil {
+		return nil, err
+	}
+	lock, err := os.OpenFile(filepath.Join(path, lockName), os.O_CREATE|os.O_RDWR, 0o640)
+	if err != nil {
+		return nil, err
+	}
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		return nil, errors.Join(&os.PathError{Op: "lock (is another process using the folder?)", Path: path, Err: err}, lock.Close())
+	}
+	return &Folder{path: path, lock: lock}, nil
+}
+
+const lockName = "lock"
+
+// Close releases the lock.
+func (f *Folder) Close() error { return f.lock.Close() }
+
+// Create implements Files.
+func (f *Folder) Create(name string) (File, error) {
+	return os.OpenFile(filepath.Join(f.path, name), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o640)
+}
+
+// ReadFile implements Files.
+func (f *Folder) ReadFile(name string) ([]byte, error) {
+	return os.ReadFile(filepath.Join(f.path, name))
+}
+
+// List implements Files; names are sorted.
+func (f *Folder) List() ([]string, error) {
+	entries, err := os.ReadDir(f.path)
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, e := range entries {
+		names = append(names, e.Name())
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+// Rename implements Files.
+func (f *Folder) Rename(from, to string) error {
+	return os.Rename(filepath.Join(f.path, from), filepath.Join(f.path, to))
+}
+
+// Remove implements Files.
+func (f *Folder) Remove(name string) error { return os.Remove(filepath.Join(f.path, name)) }
+
+// SyncFolder implements Files.
+func (f *Folder) SyncFolder() error {
+	dir, err := os.Open(f.path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(dir.Sync(), dir.Close())
+}
