--- a/cmd/tbbench/main.go
+++ b/cmd/tbbench/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -20,7 +21,11 @@
 	exitFailed = 2
 )
 
+// garbagePercent lets the heap grow, so that the load generator disturbs its own measurements less.
+const garbagePercent = 400
+
 func main() {
+	debug.SetGCPercent(garbagePercent)
 	app := kingpin.New("tbbench", "Measures deployments of tamarackbarrow with stand-ins.")
 	app.HelpFlag.Short('h')
 	list := app.Command("list", "List the scenarios.")
--- a/io/tbdaemon/api.go
+++ b/io/tbdaemon/api.go
@@ -20,13 +20,18 @@
 // commitWithin bounds the wait of callers and operators for a commit.
 const commitWithin = 5 * time.Second
 
+// compressMinBytes is the size below which compression costs more time than it saves.
+const compressMinBytes = 16 << 10
+
 // maxRequestBytes bounds one request of a caller.
 const maxRequestBytes = 4 << 20
 
 // httpServer serves callers, backend servers and operators over HTTP/1.1 and unencrypted HTTP/2.
 func (d *Daemon) httpServer() *http.Server {
 	mux := http.NewServeMux()
-	limit := connect.WithReadMaxBytes(maxRequestBytes)
+	limit := connect.WithHandlerOptions(
+		connect.WithReadMaxBytes(maxRequestBytes), connect.WithCompressMinBytes(compressMinBytes),
+	)
 	mux.Handle(tbprotov1connect.NewCallerServiceHandler(&callerHandler{d: d}, limit))
 	mux.Handle(tbprotov1connect.NewJobServiceHandler(&jobHandler{d: d}, limit))
 	mux.Handle(tbprotov1connect.NewBackendServiceHandler(&backendHandler{d: d}, limit))
--- a/io/tblaunch/cluster.go
+++ b/io/tblaunch/cluster.go
@@ -209,9 +209,7 @@
 // Close kills what still runs and ends the proxies.
 func (c *Cluster) Close() {
 	for _, in := range c.Instances {
-		if in.process != nil {
-			in.process.Process.Kill()
-		}
+		in.end()
 		if in.Proxy != nil {
 			in.Proxy.Close()
 		}
@@ -228,6 +226,18 @@
 	return nil
 }
 
+// end kills a process that still runs and waits for its end.
+func (in *Instance) end() {
+	if in.process == nil {
+		return
+	}
+	in.process.Process.Kill()
+	select {
+	case <-in.ended:
+	case <-time.After(time.Second):
+	}
+}
+
 const readyPoll = 20 * time.Millisecond
 
 func (in *Instance) waitReady(ctx context.Context) error {
--- a/io/tbscenario/deployment.go
+++ b/io/tbscenario/deployment.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"path/filepath"
+	"os"
 	"time"
 
 	"connectrpc.com/connect"
@@ -55,8 +55,12 @@
 
 // deploy starts everything and waits until calls can be answered.
 func deploy(ctx context.Context, env Env, shape Shape) (*Deployment, error) {
+	folder, err := newFolder(env.Folder, shape.Name)
+	if err != nil {
+		return nil, err
+	}
 	cluster, err := tblaunch.New(tblaunch.Options{
-		Binary: env.Binary, Folder: filepath.Join(env.Folder, "cluster-"+shape.Name), Entries: shape.Entries, Controls: shape.Controls,
+		Binary: env.Binary, Folder: folder, Entries: shape.Entries, Controls: shape.Controls,
 		Policies: shape.Policies, Times: shape.Times, Proxied: shape.Proxied,
 	})
 	if err != nil {
@@ -71,6 +75,13 @@
 	return d, nil
 }
 
+func newFolder(parent, name string) (string, error) {
+	if err := os.MkdirAll(parent, 0o750); err != nil {
+		return "", err
+	}
+	return os.MkdirTemp(parent, name+"-")
+}
+
 func (d *Deployment) start(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startWithin)
 	defer cancel()
--- a/io/tbscenario/scenario.go
+++ b/io/tbscenario/scenario.go
@@ -27,6 +27,9 @@
 func All() []Scenario {
 	all := []Scenario{
 		{Name: "demo", About: "the whole path: calls, jobs, evictions and resumes with 7 entries", Run: runDemo},
+		{Name: "overhead", About: "latency through an entry against a direct call", Run: runOverhead},
+		{Name: "overload", About: "goodput, tail and refusals at up to four times the capacity", Run: runOverload},
+		{Name: "swing", About: "calls on time while demand swings within a second", Run: runSwing},
 	}
 	slices.SortFunc(all, func(a, b Scenario) int { return strings.Compare(a.Name, b.Name) })
 	return all
--- a/io/tbstandin/runner.go
+++ b/io/tbstandin/runner.go
@@ -50,6 +50,9 @@
 	Announced string
 }
 
+// compressMinBytes keeps small answers uncompressed.
+const compressMinBytes = 16 << 10
+
 // announceInterval is the time between two announcements.
 const announceInterval = 500 * time.Millisecond
 
@@ -91,7 +94,7 @@
 	}
 	r.announcing.Store(true)
 	mux := http.NewServeMux()
-	mux.Handle(tbprotov1connect.NewRunnerServiceHandler(r))
+	mux.Handle(tbprotov1connect.NewRunnerServiceHandler(r, connect.WithCompressMinBytes(compressMinBytes)))
 	r.server = newServer(mux)
 	go r.server.Serve(l)
 	go r.announceLoop()
@@ -112,6 +115,9 @@
 // Address returns where the runner listens.
 func (r *Runner) Address() string { return r.listener.Addr().String() }
 
+// Incarnation returns the number that tells this runner from earlier ones of its id.
+func (r *Runner) Incarnation() uint64 { return r.incarnation }
+
 // SetFault makes the runner misbehave from now on.
 func (r *Runner) SetFault(f Fault) { r.fault.Store(int32(f)) }
 
