--- a/io/tbscenario/deployment.go
+++ b/io/tbscenario/deployment.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"net"
 	"os"
 	"time"
 
@@ -13,6 +14,7 @@
 	"tamarackbarrow/core/tbresource"
 	"tamarackbarrow/io/tblaunch"
 	pb "tamarackbarrow/io/tbproto/v1"
+	"tamarackbarrow/io/tbproxy"
 	"tamarackbarrow/io/tbstandin"
 )
 
@@ -28,7 +30,9 @@
 	ServiceTime func(*rand.Rand) time.Duration
 	Policies    string
 	Times       string
-	Proxied     bool
+	// Proxied and ProxiedRunners put fault-injecting proxies before peers and runners.
+	Proxied        bool
+	ProxiedRunners bool
 	// Name keeps deployments of one run apart.
 	Name string
 }
@@ -37,11 +41,13 @@
 type Deployment struct {
 	Cluster *tblaunch.Cluster
 	Runners []*tbstandin.Runner
-	Workers []*tbstandin.Worker
-	Ledger  *tbstandin.Ledger
-	Caller  *tbstandin.Caller
-	shape   Shape
-	env     Env
+	// RunnerProxies stand before the runners, if the shape asks for them.
+	RunnerProxies []*tbproxy.Proxy
+	Workers       []*tbstandin.Worker
+	Ledger        *tbstandin.Ledger
+	Caller        *tbstandin.Caller
+	shape         Shape
+	env           Env
 }
 
 // Sizes of a stand-in worker, as the users' workers have them.
@@ -117,14 +123,59 @@
 }
 
 func (d *Deployment) addRunner(i int) error {
-	r, err := tbstandin.StartRunner(tbstandin.RunnerConfig{
+	cfg := d.runnerConfig(i)
+	if d.shape.ProxiedRunners {
+		p, err := d.proxyRunner(&cfg)
+		if err != nil {
+			return err
+		}
+		d.RunnerProxies = append(d.RunnerProxies, p)
+	}
+	r, err := tbstandin.StartRunner(cfg)
+	if err != nil {
+		return err
+	}
+	d.Runners = append(d.Runners, r)
+	return nil
+}
+
+func (d *Deployment) runnerConfig(i int) tbstandin.RunnerConfig {
+	return tbstandin.RunnerConfig{
 		ID: fmt.Sprintf("runner-%d", i+1), DataCentre: dataCentre(i), Service: "quotes", Slots: d.shape.Slots,
 		Entries: d.Addresses(), ServiceTime: d.shape.ServiceTime, Seed: d.env.Seed, Ledger: d.Ledger,
-	})
+	}
+}
+
+// proxyRunner chooses the runner's address and starts a proxy that is announced instead.
+func (d *Deployment) proxyRunner(cfg *tbstandin.RunnerConfig) (*tbproxy.Proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	cfg.Address = l.Addr().String()
+	if err := l.Close(); err != nil {
+		return nil, err
+	}
+	p, err := tbproxy.Listen("127.0.0.1:0", cfg.Address)
+	if err != nil {
+		return nil, err
+	}
+	cfg.Announced = p.Address()
+	return p, nil
+}
+
+// restartRunner starts a killed runner again under a new incarnation.
+func (d *Deployment) restartRunner(i int) error {
+	cfg := d.runnerConfig(i)
+	if d.shape.ProxiedRunners {
+		cfg.Address = d.Runners[i].Address()
+		cfg.Announced = d.RunnerProxies[i].Address()
+	}
+	r, err := tbstandin.StartRunner(cfg)
 	if err != nil {
 		return err
 	}
-	d.Runners = append(d.Runners, r)
+	d.Runners[i] = r
 	return nil
 }
 
@@ -194,6 +245,9 @@
 	for _, w := range d.Workers {
 		w.Kill()
 	}
+	for _, p := range d.RunnerProxies {
+		p.Close()
+	}
 	d.Cluster.Close()
 }
 
--- a/io/tbscenario/scenario.go
+++ b/io/tbscenario/scenario.go
@@ -29,6 +29,9 @@
 		{Name: "demo", About: "the whole path: calls, jobs, evictions and resumes with 7 entries", Run: runDemo},
 		{Name: "overhead", About: "latency through an entry against a direct call", Run: runOverhead},
 		{Name: "overload", About: "goodput, tail and refusals at up to four times the capacity", Run: runOverload},
+		{Name: "orders", About: "at most one run for each keyed order under kills, silence and resends", Run: runOrders},
+		{Name: "silent", About: "time until service is back after all open connections go silent", Run: runSilent},
+		{Name: "drain", About: "planned stops of runners and entries cut off nothing", Run: runDrain},
 		{Name: "swing", About: "calls on time while demand swings within a second", Run: runSwing},
 	}
 	slices.SortFunc(all, func(a, b Scenario) int { return strings.Compare(a.Name, b.Name) })
--- a/io/tbscenario/swing.go
+++ b/io/tbscenario/swing.go
@@ -99,13 +99,19 @@
 	return last
 }
 
+// waitLimitStep is the distance of the wait limits among which the perfect queue chooses.
+const waitLimitStep = 10 * time.Millisecond
+
 // perfectShares computes the share on time of one queue before all slots, without any delay.
 //
-// The first result drops a call when the mean service time no longer fits; the
-// second knows each service time beforehand and drops whatever would be late.
+// The first result turns calls away by the wait limit that serves these arrivals
+// best; the second knows each service time beforehand and drops whatever would
+// be late, which no real system can.
 func perfectShares(arrivals []arrival, seed uint64) (perfect, clairvoyant float64) {
-	mean := time.Duration(float64(loadRunners*loadSlots) / loadCapacity() * float64(time.Second))
-	perfect = queueShare(arrivals, seed, func(wait, _ time.Duration) bool { return wait+mean > serviceTarget })
+	for limit := time.Duration(0); limit < serviceTarget; limit += waitLimitStep {
+		share := queueShare(arrivals, seed, func(wait, _ time.Duration) bool { return wait > limit })
+		perfect = max(perfect, share)
+	}
 	clairvoyant = queueShare(arrivals, seed, func(wait, service time.Duration) bool { return wait+service > serviceTarget })
 	return perfect, clairvoyant
 }
