Ask runners what became of requests whose answers were lost

Cause: after all open connections to the runners went silent, service took 3 s to come back and 779 calls were not answered. Two things added up: a slot stayed held until the run deadline plus a margin (3 s) because nobody could say whether its request still ran, and the retries of all lost requests at once spent the retry budget. Ruled out: slow detection (pings find the silence in 0.8 s) and new dials (they work at once).

Change: RunnerService.Settle. Over a new connection the entry asks what became of the request. "Never seen" bars the id at the runner, so that the slot is free and even a non-idempotent order may go to another runner; "ended" brings the answer that was lost; "running" is asked again. Retries of requests that surely did not run no longer spend the budget, their number per call is bounded instead. Pings after 300 ms instead of 400.

Runners without Settle fall back to the run deadline.

--- a/core/tbentry/calls.go
+++ b/core/tbentry/calls.go
@@ -15,6 +15,8 @@
 	claiming callPhase = iota
 	queued
 	running
+	// settling means that the answer was lost and the runner is asked what became of the request.
+	settling
 	handedOver
 )
 
@@ -39,6 +41,11 @@
 	triedRunners []string
 	// mayHaveRun is true once a request may have reached a runner without a decided end.
 	mayHaveRun bool
+	// ranBefore is true if an attempt before the present one may have run.
+	ranBefore bool
+	// attempt is the newest attempt.
+	attempt    uint64
+	attempts   int
 	lastReason Reason
 	lastDetail string
 }
@@ -199,6 +206,9 @@
 	}
 	e.attempts[a.id] = a
 	r.InUse++
+	c.attempt = a.id
+	c.attempts++
+	c.ranBefore = c.mayHaveRun
 	c.phase = running
 	c.triedRunners = append(c.triedRunners, r.ID)
 	e.emit(StartRun{
@@ -214,7 +224,9 @@
 	}
 	a.ended = true
 	e.noteRunner(now, a, ev)
-	if ev.Kind != RunLost && ev.Kind != RunBadAnswer {
+	if ev.Kind == RunLost || ev.Kind == RunBadAnswer {
+		e.settle(now, a, 0)
+	} else {
 		e.freeSlot(a)
 	}
 	if c := e.calls[a.call]; c != nil && c.phase == running {
@@ -251,33 +263,56 @@
 	case RunNotSent:
 		e.retryOr(now, c, RunnerNotReached, ev.Detail)
 	case RunLost:
-		c.mayHaveRun = true
-		e.retryOr(now, c, ConnectionLost, ev.Detail)
+		e.retryOrSettle(now, c, ConnectionLost, ev.Detail)
 	case RunBadAnswer:
-		c.mayHaveRun = true
-		e.retryOr(now, c, BadAnswer, ev.Detail)
+		e.retryOrSettle(now, c, BadAnswer, ev.Detail)
 	case RunError:
 		c.mayHaveRun = true
 		e.retryOr(now, c, RunFailed, ev.Detail)
 	}
 }
 
+// retryOrSettle goes on at once with an idempotent request and otherwise waits for the settlement.
+func (e *Entry) retryOrSettle(now time.Time, c *call, reason Reason, detail string) {
+	c.mayHaveRun = true
+	c.lastReason, c.lastDetail = reason, detail
+	if c.idempotent && e.mayRetry(now, c) {
+		e.retry(now, c, reason)
+		return
+	}
+	c.phase = settling
+}
+
 // retryOr tries another runner when that is allowed, and otherwise ends the call.
 //
-// A request that may have run is tried again only if it is idempotent. One that
-// surely did not run may be tried again in any case. Both spend the budget, so
-// that retries cannot multiply the load of a failing service.
+// A request that may have run is tried again only if it is idempotent.
 func (e *Entry) retryOr(now time.Time, c *call, reason Reason, detail string) {
 	c.lastReason, c.lastDetail = reason, detail
-	if c.mayHaveRun && !c.idempotent {
-		e.endUnknown(now, c, reason, detail)
-		return
-	}
-	if now.Add(c.service.estimate.Mean()).After(c.deadline) || c.service.retryTokens < 1 {
+	if c.mayHaveRun && !c.idempotent || !e.mayRetry(now, c) {
 		e.endAfterRetries(now, c)
 		return
 	}
-	c.service.retryTokens--
+	e.retry(now, c, reason)
+}
+
+// maxAttempts bounds the runners that one call is sent to.
+const maxAttempts = 4
+
+// mayRetry keeps retries from multiplying the load of a failing service.
+//
+// Only a request that may have cost a runner work spends the budget; one that
+// surely did not run adds no load, and its attempts are bounded instead.
+func (e *Entry) mayRetry(now time.Time, c *call) bool {
+	if c.attempts >= maxAttempts || now.Add(c.service.estimate.Mean()).After(c.deadline) {
+		return false
+	}
+	return !c.mayHaveRun || c.service.retryTokens >= 1
+}
+
+func (e *Entry) retry(now time.Time, c *call, reason Reason) {
+	if c.mayHaveRun {
+		c.service.retryTokens--
+	}
 	e.count("retried", reason)
 	e.dispatch(now, c)
 }
@@ -340,7 +375,7 @@
 		case queued:
 			c.service.queue.Remove(c.call.Member, c.id)
 			e.refuse(now, c, DeadlineWhileQueued, "")
-		case running, handedOver:
+		case running, settling, handedOver:
 			c.mayHaveRun = true
 			e.endUnknown(now, c, DeadlineWhileRunning, "")
 		}
@@ -372,7 +407,7 @@
 	case claiming:
 		// The claim's answer decides what has to be released.
 		e.refuse(now, c, CallerLeftQueue, "")
-	case running, handedOver:
+	case running, settling, handedOver:
 		// A claimed request keeps its place, so that a resend gets the kept answer.
 		if c.claim != 0 {
 			return
--- a/core/tbentry/entry.go
+++ b/core/tbentry/entry.go
@@ -108,6 +108,8 @@
 		e.onCallerLeft(now, ev)
 	case RunEnded:
 		e.onRunEnded(now, ev)
+	case RunSettled:
+		e.onRunSettled(now, ev)
 	case HandoverEnded:
 		e.onHandoverEnded(now, ev)
 	case ProposalEnded:
--- a/io/tbdaemon/effects.go
+++ b/io/tbdaemon/effects.go
@@ -45,6 +45,8 @@
 		d.reply(e.ID, e.Outcome)
 	case tbentry.StartRun:
 		go d.startRun(e)
+	case tbentry.SettleRun:
+		go d.settleRun(e)
 	case tbentry.StartHandover:
 		go d.startHandover(e)
 	case tbentry.SendProposal:
@@ -109,11 +111,20 @@
 }
 
 func (d *Daemon) startRun(run tbentry.StartRun) {
-	requestID := fmt.Sprintf("%s/%d/%d", d.settings.ID, d.started, run.Attempt)
-	ended := d.runners.Run(d.ctx, requestID, run)
+	ended := d.runners.Run(d.ctx, d.requestID(run.Attempt), run)
 	d.push(tbnode.Event{Entry: ended})
 }
 
+// requestID names an attempt among those of all instances and incarnations.
+func (d *Daemon) requestID(attempt uint64) string {
+	return fmt.Sprintf("%s/%d/%d", d.settings.ID, d.started, attempt)
+}
+
+func (d *Daemon) settleRun(s tbentry.SettleRun) {
+	time.Sleep(s.After)
+	d.push(tbnode.Event{Entry: d.runners.Settle(d.ctx, d.requestID(s.Attempt), s)})
+}
+
 func (d *Daemon) startHandover(h tbentry.StartHandover) {
 	answer, err := d.peers.Handover(d.ctx, h.Address, h.Left+handoverMargin, &pb.HandoverRequest{
 		Call: callToWire(h.Call), LeftMs: uint32(max(1, h.Left.Milliseconds())),
--- a/io/tbproto/v1/tbprotov1connect/public.connect.go
+++ b/io/tbproto/v1/tbprotov1connect/public.connect.go
@@ -60,6 +60,8 @@
 	BackendServiceAnnounceWorkerProcedure = "/tamarackbarrow.v1.BackendService/AnnounceWorker"
 	// RunnerServiceRunProcedure is the fully-qualified name of the RunnerService's Run RPC.
 	RunnerServiceRunProcedure = "/tamarackbarrow.v1.RunnerService/Run"
+	// RunnerServiceSettleProcedure is the fully-qualified name of the RunnerService's Settle RPC.
+	RunnerServiceSettleProcedure = "/tamarackbarrow.v1.RunnerService/Settle"
 	// WorkerServiceApplyProcedure is the fully-qualified name of the WorkerService's Apply RPC.
 	WorkerServiceApplyProcedure = "/tamarackbarrow.v1.WorkerService/Apply"
 	// OperatorServiceSignOffProcedure is the fully-qualified name of the OperatorService's SignOff RPC.
@@ -366,6 +368,9 @@
 // RunnerServiceClient is a client for the tamarackbarrow.v1.RunnerService service.
 type RunnerServiceClient interface {
 	Run(context.Context, *connect.Request[v1.RunRequest]) (*connect.Response[v1.RunResponse], error)
+	// Settle tells what became of a request whose answer was lost. A runner that
+	// never saw the request refuses it from then on.
+	Settle(context.Context, *connect.Request[v1.SettleRequest]) (*connect.Response[v1.SettleResponse], error)
 }
 
 // NewRunnerServiceClient constructs a client for the tamarackbarrow.v1.RunnerService service. By
@@ -385,12 +390,19 @@
 			connect.WithSchema(runnerServiceMethods.ByName("Run")),
 			connect.WithClientOptions(opts...),
 		),
+		settle: connect.NewClient[v1.SettleRequest, v1.SettleResponse](
+			httpClient,
+			baseURL+RunnerServiceSettleProcedure,
+			connect.WithSchema(runnerServiceMethods.ByName("Settle")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // runnerServiceClient implements RunnerServiceClient.
 type runnerServiceClient struct {
-	run *connect.Client[v1.RunRequest, v1.RunResponse]
+	run    *connect.Client[v1.RunRequest, v1.RunResponse]
+	settle *connect.Client[v1.SettleRequest, v1.SettleResponse]
 }
 
 // Run calls tamarackbarrow.v1.RunnerService.Run.
@@ -398,9 +410,17 @@
 	return c.run.CallUnary(ctx, req)
 }
 
+// Settle calls tamarackbarrow.v1.RunnerService.Settle.
+func (c *runnerServiceClient) Settle(ctx context.Context, req *connect.Request[v1.SettleRequest]) (*connect.Response[v1.SettleResponse], error) {
+	return c.settle.CallUnary(ctx, req)
+}
+
 // RunnerServiceHandler is an implementation of the tamarackbarrow.v1.RunnerService service.
 type RunnerServiceHandler interface {
 	Run(context.Context, *connect.Request[v1.RunRequest]) (*connect.Response[v1.RunResponse], error)
+	// Settle tells what became of a request whose answer was lost. A runner that
+	// never saw the request refuses it from then on.
+	Settle(context.Context, *connect.Request[v1.SettleRequest]) (*connect.Response[v1.SettleResponse], error)
 }
 
 // NewRunnerServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -416,10 +436,18 @@
 		connect.WithSchema(runnerServiceMethods.ByName("Run")),
 		connect.WithHandlerOptions(opts...),
 	)
+	runnerServiceSettleHandler := connect.NewUnaryHandler(
+		RunnerServiceSettleProcedure,
+		svc.Settle,
+		connect.WithSchema(runnerServiceMethods.ByName("Settle")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/tamarackbarrow.v1.RunnerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case RunnerServiceRunProcedure:
 			runnerServiceRunHandler.ServeHTTP(w, r)
+		case RunnerServiceSettleProcedure:
+			runnerServiceSettleHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -433,6 +461,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("tamarackbarrow.v1.RunnerService.Run is not implemented"))
 }
 
+func (UnimplementedRunnerServiceHandler) Settle(context.Context, *connect.Request[v1.SettleRequest]) (*connect.Response[v1.SettleResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("tamarackbarrow.v1.RunnerService.Settle is not implemented"))
+}
+
 // WorkerServiceClient is a client for the tamarackbarrow.v1.WorkerService service.
 type WorkerServiceClient interface {
 	Apply(context.Context, *connect.Request[v1.ApplyRequest]) (*connect.Response[v1.ApplyResponse], error)
--- a/io/tbrunnerclient/client.go
+++ b/io/tbrunnerclient/client.go
@@ -19,8 +19,8 @@
 
 // Times after which a connection to a backend server counts as silent.
 const (
-	pingAfter   = 400 * time.Millisecond
-	pingTimeout = 400 * time.Millisecond
+	pingAfter   = 300 * time.Millisecond
+	pingTimeout = 300 * time.Millisecond
 	dialTimeout = 500 * time.Millisecond
 )
 
@@ -88,3 +88,32 @@
 		ended.Kind, ended.Payload = tbentry.RunAnswered, m.GetPayload()
 	}
 }
+
+// settleWithin bounds one question about a lost answer.
+const settleWithin = 500 * time.Millisecond
+
+// Settle asks a runner what became of a request whose answer was lost.
+func (c *Client) Settle(ctx context.Context, requestID string, s tbentry.SettleRun) tbentry.RunSettled {
+	ctx, cancel := context.WithTimeout(ctx, settleWithin)
+	defer cancel()
+	settled := tbentry.RunSettled{Attempt: s.Attempt}
+	client := tbprotov1connect.NewRunnerServiceClient(c.http, "http://"+s.Address)
+	answer, err := client.Settle(ctx, connect.NewRequest(&pb.SettleRequest{RequestId: requestID, Incarnation: s.Incarnation}))
+	if err != nil {
+		return settled
+	}
+	switch answer.Msg.GetState() {
+	case pb.SettleState_SETTLE_STATE_NOT_RUN:
+		settled.State = tbentry.SettledNotRun
+	case pb.SettleState_SETTLE_STATE_RUNNING:
+		settled.State = tbentry.SettledRunning
+	case pb.SettleState_SETTLE_STATE_UNKNOWN:
+		settled.State = tbentry.SettledUnknown
+	case pb.SettleState_SETTLE_STATE_ENDED:
+		settled.State = tbentry.SettledEnded
+		var ended tbentry.RunEnded
+		check(&ended, requestID, answer.Msg.GetAnswer())
+		settled.Answered, settled.Payload = ended.Kind == tbentry.RunAnswered, ended.Payload
+	}
+	return settled
+}
--- a/io/tbstandin/runner.go
+++ b/io/tbstandin/runner.go
@@ -72,6 +72,7 @@
 	leavingAt   atomic.Int64
 	announcing  atomic.Bool
 	mu          sync.Mutex
+	requests    map[string]*requestRecord
 	rng         *rand.Rand
 	stop        context.CancelFunc
 	ctx         context.Context
@@ -92,6 +93,7 @@
 		cfg: cfg, incarnation: uint64(time.Now().UnixNano()), listener: l, client: newClient(),
 		rng: rand.New(rand.NewPCG(cfg.Seed, xxhash.Sum64String(cfg.ID))), ctx: ctx, stop: stop,
 	}
+	r.requests = map[string]*requestRecord{}
 	r.announcing.Store(true)
 	mux := http.NewServeMux()
 	mux.Handle(tbprotov1connect.NewRunnerServiceHandler(r, connect.WithCompressMinBytes(compressMinBytes)))
@@ -149,12 +151,17 @@
 	if fault == FaultRefuse {
 		return connect.NewResponse(&pb.RunResponse{RequestId: m.GetRequestId(), Refused: true, Reason: "told to refuse"}), nil
 	}
+	if !r.begin(m.GetRequestId()) {
+		return connect.NewResponse(&pb.RunResponse{RequestId: m.GetRequestId(), Refused: true, Reason: "settled as not run"}), nil
+	}
 	r.enter()
 	defer r.running.Add(-1)
 	r.cfg.Ledger.noteRun(string(m.GetPayload()))
 	if err := r.work(ctx, m, fault); err != nil {
+		r.finish(m.GetRequestId(), nil)
 		return nil, err
 	}
+	r.finish(m.GetRequestId(), r.answer(m, FaultNone))
 	return connect.NewResponse(r.answer(m, fault)), nil
 }
 
@@ -197,6 +204,60 @@
 	return r.cfg.ServiceTime(r.rng)
 }
 
+// requestRecord is what a runner remembers of a request.
+type requestRecord struct {
+	state  pb.SettleState
+	answer *pb.RunResponse
+	at     time.Time
+}
+
+// rememberRequests is how long a runner remembers requests that ended or were barred.
+const rememberRequests = 30 * time.Second
+
+// begin records a request and reports whether it may run.
+func (r *Runner) begin(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.requests[id] != nil {
+		return false
+	}
+	r.requests[id] = &requestRecord{state: pb.SettleState_SETTLE_STATE_RUNNING}
+	return true
+}
+
+func (r *Runner) finish(id string, answer *pb.RunResponse) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.requests[id] = &requestRecord{state: pb.SettleState_SETTLE_STATE_ENDED, answer: answer, at: time.Now()}
+}
+
+// forgetRequests drops old records.
+func (r *Runner) forgetRequests() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, record := range r.requests {
+		if !record.at.IsZero() && time.Since(record.at) > rememberRequests {
+			delete(r.requests, id)
+		}
+	}
+}
+
+// Settle tells what became of a request and bars one that was never seen.
+func (r *Runner) Settle(_ context.Context, req *connect.Request[pb.SettleRequest]) (*connect.Response[pb.SettleResponse], error) {
+	if req.Msg.GetIncarnation() != r.incarnation {
+		return connect.NewResponse(&pb.SettleResponse{State: pb.SettleState_SETTLE_STATE_UNKNOWN}), nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	id := req.Msg.GetRequestId()
+	record := r.requests[id]
+	if record == nil {
+		record = &requestRecord{state: pb.SettleState_SETTLE_STATE_NOT_RUN, at: time.Now()}
+		r.requests[id] = record
+	}
+	return connect.NewResponse(&pb.SettleResponse{State: record.state, Answer: record.answer}), nil
+}
+
 // Answer is what every runner answers to a payload.
 func Answer(payload []byte) []byte { return append([]byte("answer to "), payload...) }
 
@@ -224,6 +285,7 @@
 			return
 		case <-ticker.C:
 			r.announce()
+			r.forgetRequests()
 		}
 	}
 }
