Measure roll-outs, failover and commits

Cause: the control group had only been shown by random schedules.

Change: scenarios rollout (with a control instance cut off and an entry killed), failover (the leader killed ten times under load) and commits (against one change in each log entry); a counter of disk syncs.

--- a/io/tbdaemon/counters.go
+++ b/io/tbdaemon/counters.go
@@ -21,6 +21,13 @@
 // add counts one under a name such as "refused.noLease".
 func (c *counters) add(name string) { c.vars.Add(name, 1) }
 
+// set replaces the value of a counter that is kept elsewhere.
+func (c *counters) set(name string, value int64) {
+	v := new(expvar.Int)
+	v.Set(value)
+	c.vars.Set(name, v)
+}
+
 // namedCount is the value of one counter.
 type namedCount struct {
 	name  string
--- a/io/tbdaemon/storage.go
+++ b/io/tbdaemon/storage.go
@@ -118,6 +118,7 @@
 	if err := s.store.Append(groups); err != nil {
 		return err
 	}
+	s.d.counters.set("storage.syncs", int64(s.store.Syncs()))
 	for _, save := range saves {
 		s.d.sendMessages(save.Messages)
 		if n := len(save.Entries); n > 0 {
--- a/io/tbscenario/scenario.go
+++ b/io/tbscenario/scenario.go
@@ -32,6 +32,9 @@
 		{Name: "orders", About: "at most one run for each keyed order under kills, silence and resends", Run: runOrders},
 		{Name: "silent", About: "time until service is back after all open connections go silent", Run: runSilent},
 		{Name: "drain", About: "planned stops of runners and entries cut off nothing", Run: runDrain},
+		{Name: "rollout", About: "time until a bundle version is in force on all entries", Run: runRollout},
+		{Name: "failover", About: "first commit after the leader is killed, ten times", Run: runFailover},
+		{Name: "commits", About: "committed changes a second and syncs for each change", Run: runCommits},
 		{Name: "swing", About: "calls on time while demand swings within a second", Run: runSwing},
 	}
 	slices.SortFunc(all, func(a, b Scenario) int { return strings.Compare(a.Name, b.Name) })
