Keep room for short work that follows its use, and count results once

`tbbench run wavefaults` found a job that finished on a silent worker and ran again: nothing told the worker that its result no longer counted.

Change: the kept share shrinks within seconds, and a burst of short work after a quiet spell gets room by stopping a few long tasks that can resume; a kind is long as soon as most of its running tasks outran the bound. The acknowledgement of a finished task says whether it was accepted, and a worker publishes its result only then. Urgent jobs use room that is about to become free before they stop further tasks.

--- a/core/tbentry/backends.go
+++ b/core/tbentry/backends.go
@@ -18,6 +18,7 @@
 // reportState is how far a report has come.
 type reportState struct {
 	recorded bool
+	accepted bool
 	at       time.Time
 }
 
@@ -80,8 +81,8 @@
 	}
 }
 
-func (b *backendCare) noteReported(key reportKey, now time.Time) {
-	b.reports[key] = reportState{recorded: true, at: now}
+func (b *backendCare) noteReported(key reportKey, o tbstate.Outcome, now time.Time) {
+	b.reports[key] = reportState{recorded: true, accepted: o.Reason == tbstate.OK, at: now}
 }
 
 func (b *backendCare) dropReport(key reportKey) { delete(b.reports, key) }
@@ -169,7 +170,7 @@
 		state, known := e.care.reports[key]
 		switch {
 		case known && state.recorded:
-			acks = append(acks, TaskAck{Job: report.Job, Epoch: report.Epoch})
+			acks = append(acks, TaskAck{Job: report.Job, Epoch: report.Epoch, Accepted: state.accepted})
 		case !known:
 			e.care.reports[key] = reportState{at: now}
 			e.propose(proposalItem{
--- a/core/tbentry/proposals.go
+++ b/core/tbentry/proposals.go
@@ -134,7 +134,7 @@
 	case surrenderItem:
 		e.onSurrendered(item)
 	case reportItem:
-		e.care.noteReported(item.report, now)
+		e.care.noteReported(item.report, outcomes[0], now)
 	case submitItem:
 		e.emit(AnswerCommands{Request: item.request, Outcomes: outcomes})
 	}
--- a/core/tbentry/types.go
+++ b/core/tbentry/types.go
@@ -279,6 +279,8 @@
 type TaskAck struct {
 	Job   string
 	Epoch uint64
+	// Accepted is false when another epoch counts; the worker then drops its result.
+	Accepted bool
 }
 
 // Orders is all that a worker has to run, under leases that count from its own clock.
--- a/core/tbplacement/planner.go
+++ b/core/tbplacement/planner.go
@@ -35,7 +35,7 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		Learn: true, ShortBound: 30 * time.Second,
-		MinShortShare: 0.02, MaxShortShare: 0.4, ShortHeadroom: 1.3, ShareDecay: time.Minute,
+		MinShortShare: 0.02, MaxShortShare: 0.4, ShortHeadroom: 1.3, ShareDecay: 5 * time.Second,
 		MaxScanned: 2000, MaxStarts: 64, EvictionsPerSecond: 20,
 		NominationTimeout: 10 * time.Second, EvictPause: 30 * time.Second,
 	}
@@ -99,7 +99,7 @@
 	r := newRound(p, s, now)
 	p.updateShortShare(r, now)
 	s.EachQueued(r.consider)
-	r.evictOutrun()
+	r.makeRoomForShort()
 	p.lastPlan = now
 	return r.commands
 }
@@ -151,19 +151,33 @@
 	longJob  class = true
 )
 
-// classOf uses what was learned of the kind; unknown kinds start as short unless declared long.
-func (p *Planner) classOf(s *tbstate.State, j *tbstate.Job) class {
-	if !p.policy.Learn {
+// classOf uses what was learned of the kind, then what is seen of its running tasks, then what was declared.
+func (r *round) classOf(j *tbstate.Job) class {
+	if !r.p.policy.Learn {
 		return shortJob
 	}
-	if j.LongClass {
+	if j.LongClass || r.outran(j) {
 		return longJob
 	}
-	if k := s.Kinds[j.Kind]; k != nil && k.Runs >= minRunsToTrust {
-		return class(k.MeanMs > float64(p.policy.ShortBound.Milliseconds()))
+	bound := r.p.policy.ShortBound
+	if k := r.s.Kinds[j.Kind]; k != nil && k.Runs >= minRunsToTrust {
+		return class(k.MeanMs > float64(bound.Milliseconds()))
+	}
+	if r.outrunKinds[j.Kind] {
+		return longJob
+	}
+	if b := r.s.Bundle(); b != nil {
+		if kind, ok := b.Kind(j.Kind); ok {
+			return class(kind.ExpectedRunTime > bound)
+		}
 	}
 	return shortJob
 }
 
+// outran reports whether a running task has taken longer than any short one.
+func (r *round) outran(j *tbstate.Job) bool {
+	return j.Phase.Placed() && r.s.NowMs-j.StartedMs > r.p.policy.ShortBound.Milliseconds()
+}
+
 // minRunsToTrust is the number of finished runs from which the mean of a kind counts.
 const minRunsToTrust = 3
--- a/core/tbplacement/round.go
+++ b/core/tbplacement/round.go
@@ -12,7 +12,11 @@
 // seat is a worker as the round sees it, after the commands planned so far.
 type seat struct {
 	worker *tbstate.Worker
+	// actual is what no task holds; free is what is left of it beside nominations.
+	actual tbresource.Amount
 	free   tbresource.Amount
+	// stopping is held by tasks that were told to stop.
+	stopping tbresource.Amount
 	// longUse is held by long jobs.
 	longUse tbresource.Amount
 	// trial is true for a worker that may run only one task to prove itself.
@@ -37,13 +41,17 @@
 	scanned  int
 	starts   int
 	failed   map[shape]WaitReason
-	// shortWaits is true when a short job found no room.
-	shortWaits bool
-	commands   []tbstate.Command
+	// outrunKinds are kinds of which most running tasks outran the short class.
+	outrunKinds map[string]bool
+	// shortWaiting is the size of all short jobs that found no room, shortRank their highest rank.
+	shortWaiting tbresource.Amount
+	shortRank    int
+	commands     []tbstate.Command
 }
 
 func newRound(p *Planner, s *tbstate.State, now time.Time) *round {
 	r := &round{p: p, s: s, now: now, teamUse: map[string]tbresource.Amount{}, failed: map[shape]WaitReason{}}
+	r.findOutrunKinds()
 	for _, id := range s.WorkerIDs() {
 		w := s.Workers[id]
 		if w.Phase != tbstate.WorkerPresent {
@@ -59,17 +67,39 @@
 	return r
 }
 
+// findOutrunKinds looks at running tasks, since a kind of very long jobs is learned too late from finished ones.
+func (r *round) findOutrunKinds() {
+	r.outrunKinds = map[string]bool{}
+	balance := map[string]int{}
+	for _, id := range r.s.WorkerIDs() {
+		r.s.EachTask(id, func(j *tbstate.Job) {
+			if r.outran(j) {
+				balance[j.Kind]++
+				return
+			}
+			balance[j.Kind]--
+		})
+	}
+	for kind, n := range balance {
+		r.outrunKinds[kind] = n > 0
+	}
+}
+
 func (r *round) newSeat(w *tbstate.Worker) *seat {
-	st := &seat{worker: w, free: w.Capacity.Sub(r.s.Reserved(w.ID))}
+	st := &seat{worker: w, actual: w.Capacity.Sub(r.s.Reserved(w.ID))}
 	st.trial = w.ProbationUntilMs > 0 && w.Failures > 0
 	if st.trial && r.s.TaskCount(w.ID) > 0 {
-		st.free = tbresource.Amount{}
+		st.actual = tbresource.Amount{}
 	}
-	for _, j := range r.s.TasksOn(w.ID) {
-		if r.p.classOf(r.s, j) == longJob {
+	st.free = st.actual
+	r.s.EachTask(w.ID, func(j *tbstate.Job) {
+		if r.classOf(j) == longJob {
 			st.longUse = st.longUse.Add(j.Resources)
 		}
-	}
+		if j.Phase == tbstate.JobStopping {
+			st.stopping = st.stopping.Add(j.Resources)
+		}
+	})
 	return st
 }
 
@@ -106,7 +136,7 @@
 	if r.scanned > r.p.policy.MaxScanned || r.starts >= r.p.policy.MaxStarts {
 		return false
 	}
-	c := r.p.classOf(r.s, j)
+	c := r.classOf(j)
 	key := shape{size: j.Resources, class: c, team: j.Team}
 	n, isNominated := r.p.nominated[j.ID]
 	if reason, known := r.failed[key]; known && !isNominated && !j.Urgent {
@@ -139,7 +169,8 @@
 func (r *round) wait(j *tbstate.Job, c class, reason WaitReason) {
 	r.p.waiting[j.ID] = reason
 	if c == shortJob && reason == WaitNoRoom {
-		r.shortWaits = true
+		r.shortWaiting = r.shortWaiting.Add(j.Resources)
+		r.shortRank = max(r.shortRank, j.Rank)
 	}
 }
 
@@ -206,11 +237,12 @@
 
 func (r *round) start(j *tbstate.Job, c class, st *seat) {
 	st.free = st.free.Sub(j.Resources)
+	st.actual = st.actual.Sub(j.Resources)
 	if c == longJob {
 		st.longUse = st.longUse.Add(j.Resources)
 	}
 	if st.trial {
-		st.free = tbresource.Amount{}
+		st.free, st.actual = tbresource.Amount{}, tbresource.Amount{}
 	}
 	r.teamUse[j.Team] = r.teamUse[j.Team].Add(j.Resources)
 	r.starts++
@@ -224,18 +256,24 @@
 		delete(r.p.nominated, j.ID)
 		return
 	}
-	// The held room is the job's own.
-	if st.free.MilliProcessors < 0 || st.free.MemoryMB < 0 || st.free.Accelerators < 0 {
+	if !j.Resources.Fits(st.actual) {
 		r.wait(j, shortJob, WaitForEviction)
 		return
 	}
+	// The held room is the job's own.
 	st.free = st.free.Add(j.Resources)
 	delete(r.p.nominated, j.ID)
-	r.start(j, r.p.classOf(r.s, j), st)
+	r.start(j, r.classOf(j), st)
 }
 
-// preempt frees room for an urgent job by stopping less important tasks of one worker.
+// preempt finds room for an urgent job that is about to become free, or frees it.
 func (r *round) preempt(j *tbstate.Job) bool {
+	for _, st := range r.seats {
+		if j.Resources.Fits(st.free.Add(st.stopping)) {
+			r.nominate(j, st)
+			return true
+		}
+	}
 	var best []*tbstate.Job
 	var bestSeat *seat
 	for _, st := range r.seats {
@@ -255,35 +293,30 @@
 	}
 	for _, v := range best {
 		r.evict(v, tbstate.EvictedForUrgent)
-		bestSeat.free = bestSeat.free.Add(v.Resources)
+		bestSeat.stopping = bestSeat.stopping.Add(v.Resources)
 	}
-	bestSeat.free = bestSeat.free.Sub(j.Resources)
-	r.p.nominated[j.ID] = nomination{worker: bestSeat.worker.ID, until: r.now.Add(r.p.policy.NominationTimeout)}
+	r.nominate(j, bestSeat)
 	return true
 }
 
+// nominate keeps room of a worker for a job until the tasks there have stopped.
+func (r *round) nominate(j *tbstate.Job, st *seat) {
+	st.free = st.free.Sub(j.Resources)
+	r.p.nominated[j.ID] = nomination{worker: st.worker.ID, until: r.now.Add(r.p.policy.NominationTimeout)}
+}
+
 // victims returns the cheapest tasks of a worker whose end makes room for j.
 func (r *round) victims(st *seat, j *tbstate.Job) ([]*tbstate.Job, bool) {
-	free := st.free
-	for _, t := range r.s.TasksOn(st.worker.ID) {
-		// What is already stopping frees its room soon.
-		if t.Phase == tbstate.JobStopping && !r.evictedNow(t) {
-			free = free.Add(t.Resources)
-		}
-	}
+	room := st.free.Add(st.stopping)
 	var chosen []*tbstate.Job
 	for _, t := range r.evictable(st, j) {
-		if j.Resources.Fits(free) {
+		if j.Resources.Fits(room) {
 			break
 		}
-		free = free.Add(t.Resources)
+		room = room.Add(t.Resources)
 		chosen = append(chosen, t)
 	}
-	return chosen, j.Resources.Fits(free) && len(chosen) > 0
-}
-
-func (r *round) evictedNow(t *tbstate.Job) bool {
-	return r.p.lastEvicted[t.ID].Equal(r.now)
+	return chosen, j.Resources.Fits(room)
 }
 
 // evictable orders a worker's tasks that may give way to j: lowest rank, then least lost work.
@@ -341,19 +374,42 @@
 	r.commands = append(r.commands, tbstate.EvictTask{Job: j.ID, Epoch: j.Epoch, Reason: reason})
 }
 
-// evictOutrun moves tasks that outran the short class out of the way of waiting short work.
-func (r *round) evictOutrun() {
-	if !r.p.policy.Learn || !r.shortWaits {
+// makeRoomForShort stops long tasks for short work that found no room.
+//
+// The kept share follows the use by short work and is gone after a quiet spell.
+// A burst after it would wait until a long task ends, so long tasks that can
+// resume from a checkpoint give way, as few as needed and each only now and then.
+func (r *round) makeRoomForShort() {
+	if !r.p.policy.Learn {
 		return
 	}
-	bound := r.p.policy.ShortBound.Milliseconds()
+	wanted := r.shortWaiting
+	for _, st := range r.seats {
+		wanted = wanted.Sub(st.stopping)
+	}
 	for _, st := range r.seats {
 		for _, j := range r.s.TasksOn(st.worker.ID) {
-			outran := j.Phase == tbstate.JobRunning && !j.LongClass && !j.Urgent && r.s.NowMs-j.StartedMs > bound
-			if !outran || r.p.evictTokens < 1 || !checkpointable(r.s, j) || r.evictedLately(j) {
+			if wanted.MilliProcessors <= 0 && wanted.MemoryMB <= 0 && wanted.Accelerators <= 0 {
+				return
+			}
+			if r.p.evictTokens < 1 || !r.givesWayToShort(j) {
 				continue
 			}
-			r.evict(j, tbstate.EvictedForOutrun)
+			r.evict(j, r.evictReason(j))
+			wanted = wanted.Sub(j.Resources)
 		}
 	}
 }
+
+func (r *round) givesWayToShort(j *tbstate.Job) bool {
+	return j.Phase == tbstate.JobRunning && !j.Urgent && r.classOf(j) == longJob &&
+		checkpointable(r.s, j) && !r.evictedLately(j) && j.Rank <= r.shortRank
+}
+
+// evictReason marks a job that was taken for short as long from now on.
+func (r *round) evictReason(j *tbstate.Job) tbstate.Reason {
+	if r.outran(j) && !j.LongClass {
+		return tbstate.EvictedForOutrun
+	}
+	return tbstate.EvictedForShort
+}
--- a/core/tbstate/jobs.go
+++ b/core/tbstate/jobs.go
@@ -199,6 +199,9 @@
 	switch {
 	case j == nil:
 		return Outcome{Reason: JobUnknown}
+	case j.Epoch == c.Epoch && j.Phase == JobFinished && c.Phase == TaskFinished:
+		// A resent report of the run that counted.
+		return Outcome{}
 	case j.Epoch != c.Epoch || !j.Phase.Placed() || j.Worker != c.Worker:
 		return Outcome{Reason: StaleEpoch, Detail: fmt.Sprintf("job %q is in epoch %d, phase %s", j.ID, j.Epoch, j.Phase)}
 	}
--- a/core/tbstate/state.go
+++ b/core/tbstate/state.go
@@ -129,6 +129,13 @@
 	return jobs
 }
 
+// EachTask calls visit for each placed job of a worker in no particular order.
+func (s *State) EachTask(worker string, visit func(*Job)) {
+	for _, j := range s.tasks[worker] {
+		visit(j)
+	}
+}
+
 // TaskCount returns the number of placed jobs of a worker.
 func (s *State) TaskCount(worker string) int { return len(s.tasks[worker]) }
 
--- a/io/tbdaemon/wire.go
+++ b/io/tbdaemon/wire.go
@@ -54,7 +54,7 @@
 		})
 	}
 	for _, ack := range o.Acknowledged {
-		m.Acknowledged = append(m.Acknowledged, &pb.TaskAck{Job: ack.Job, Epoch: ack.Epoch})
+		m.Acknowledged = append(m.Acknowledged, &pb.TaskAck{Job: ack.Job, Epoch: ack.Epoch, Accepted: ack.Accepted})
 	}
 	return m
 }
--- a/io/tbscenario/demo.go
+++ b/io/tbscenario/demo.go
@@ -69,7 +69,7 @@
 	}
 	finished, evictions := 0, 0
 	for _, j := range jobs {
-		if j.GetPhase() == "finished" && d.Ledger.Job(j.GetId()).Finished == 1 {
+		if j.GetPhase() == "finished" && d.Ledger.Job(j.GetId()).Completed == 1 {
 			finished++
 		}
 		evictions += int(j.GetEvictions())
--- a/io/tbscenario/scenario.go
+++ b/io/tbscenario/scenario.go
@@ -35,6 +35,10 @@
 		{Name: "rollout", About: "time until a bundle version is in force on all entries", Run: runRollout},
 		{Name: "failover", About: "first commit after the leader is killed, ten times", Run: runFailover},
 		{Name: "commits", About: "committed changes a second and syncs for each change", Run: runCommits},
+		{Name: "batch", About: "work done by a backlog of mixed jobs against perfect packing", Run: runBatch},
+		{Name: "longshort", About: "wait of short checks while long jobs fill the workers", Run: runLongShort},
+		{Name: "urgent", About: "time until urgent tasks start on full workers", Run: runUrgent},
+		{Name: "wavefaults", About: "workers, a rack and the leader lost while jobs are cancelled in waves", Run: runWaveFaults},
 		{Name: "swing", About: "calls on time while demand swings within a second", Run: runSwing},
 	}
 	slices.SortFunc(all, func(a, b Scenario) int { return strings.Compare(a.Name, b.Name) })
--- a/io/tbsettings/settings.go
+++ b/io/tbsettings/settings.go
@@ -60,6 +60,8 @@
 	NewestFirst bool
 	// LearnJobs is false for placement by declared sizes in order of submission.
 	LearnJobs bool
+	// ShortBound is the run time up to which a job counts as short.
+	ShortBound time.Duration
 	// ShareByDemand is false for equal shares of all slots.
 	ShareByDemand bool
 	// SnapshotEvery is the number of log entries between two snapshots.
@@ -223,6 +225,7 @@
 		Admission:     t.BoolOr("admission", true),
 		NewestFirst:   t.BoolOr("newestFirst", false),
 		LearnJobs:     t.BoolOr("learnJobs", true),
+		ShortBound:    positive(t, "shortBound", 30*time.Second),
 		ShareByDemand: t.BoolOr("shareByDemand", true),
 		SnapshotEvery: t.IntOr("snapshotEvery", 10_000),
 		BatchCommits:  t.BoolOr("batchCommits", true),
--- a/io/tbstandin/ledger.go
+++ b/io/tbstandin/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 )
 
 // maxKeptViolations bounds the violations that are kept in words; all are counted.
@@ -22,8 +23,11 @@
 type jobRecord struct {
 	runningOn string
 	epoch     uint64
-	finished  int
-	starts    int
+	// completed counts runs to the end, published the results that the system accepted.
+	completed  int
+	published  int
+	starts     int
+	firstStart time.Time
 }
 
 // NewLedger returns an empty ledger.
@@ -86,36 +90,50 @@
 		l.violateLocked("job %s starts on %s while it runs on %s", id, worker, j.runningOn)
 	case epoch <= j.epoch:
 		l.violateLocked("job %s starts in epoch %d after epoch %d", id, epoch, j.epoch)
-	case j.finished > 0:
-		l.violateLocked("job %s starts again after it finished", id)
+	case j.published > 0:
+		l.violateLocked("job %s starts again after its result was published", id)
+	}
+	if j.firstStart.IsZero() {
+		j.firstStart = time.Now()
 	}
 	j.runningOn = worker
 	j.epoch = epoch
 	j.starts++
 }
 
-// taskEnded records that a task no longer runs.
-func (l *Ledger) taskEnded(id, worker string, finished bool) {
+// taskEnded records that a task no longer runs; completed means that it ran to its end.
+func (l *Ledger) taskEnded(id, worker string, completed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	j := l.job(id)
 	if j.runningOn == worker {
 		j.runningOn = ""
 	}
-	if !finished {
-		return
+	if completed {
+		j.completed++
 	}
-	j.finished++
-	if j.finished > 1 {
-		l.violateLocked("job %s finished %d times", id, j.finished)
+}
+
+// resultPublished records that a worker published a result after the system accepted its report.
+func (l *Ledger) resultPublished(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	j := l.job(id)
+	j.published++
+	if j.published > 1 {
+		l.violateLocked("job %s published %d results", id, j.published)
 	}
 }
 
 // JobFacts is the true history of a job.
 type JobFacts struct {
-	Starts   int
-	Finished int
-	Running  bool
+	Starts int
+	// Completed counts runs to the end, Published the results that the system accepted.
+	Completed int
+	Published int
+	Running   bool
+	// FirstStart is the zero time before the first start.
+	FirstStart time.Time
 }
 
 // Job returns the true history of a job.
@@ -126,7 +144,7 @@
 	if j == nil {
 		return JobFacts{}
 	}
-	return JobFacts{Starts: j.starts, Finished: j.finished, Running: j.runningOn != ""}
+	return JobFacts{Starts: j.starts, Completed: j.completed, Published: j.published, Running: j.runningOn != "", FirstStart: j.firstStart}
 }
 
 // Finished returns the number of jobs that finished.
@@ -135,7 +153,7 @@
 	defer l.mu.Unlock()
 	n := 0
 	for _, j := range l.jobs {
-		if j.finished > 0 {
+		if j.completed > 0 {
 			n++
 		}
 	}
--- a/io/tbstandin/worker.go
+++ b/io/tbstandin/worker.go
@@ -139,6 +139,13 @@
 	w.silent = silent
 }
 
+// Used returns what the running tasks hold.
+func (w *Worker) Used() tbresource.Amount {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.used
+}
+
 // Kill ends the worker and all its tasks at once.
 func (w *Worker) Kill() {
 	w.stop()
@@ -167,7 +174,12 @@
 	}
 	until := time.Duration(o.GetLeaseBaseMs()+uint64(o.GetLeaseMs())) * time.Millisecond
 	for _, ack := range o.GetAcknowledged() {
-		delete(w.ended, taskKey{ack.GetJob(), ack.GetEpoch()})
+		key := taskKey{ack.GetJob(), ack.GetEpoch()}
+		report := w.ended[key]
+		if report != nil && report.GetPhase() == "finished" && ack.GetAccepted() {
+			w.cfg.Ledger.resultPublished(key.job)
+		}
+		delete(w.ended, key)
 	}
 	for _, order := range o.GetTasks() {
 		w.applyTask(order, until)
