Keep less room for short work, and over all workers together

While a backlog of short work was drained the kept share had grown to its cap of 0.4, and then it shrank over seconds for short work that no longer came.

Change: the share is kept over all workers together, its cap is 0.15 and it shrinks within 2 s. A burst after a quiet spell gets its room by stopping a few long tasks that can resume.

--- a/core/tbplacement/planner.go
+++ b/core/tbplacement/planner.go
@@ -35,7 +35,7 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		Learn: true, ShortBound: 30 * time.Second,
-		MinShortShare: 0.02, MaxShortShare: 0.4, ShortHeadroom: 1.3, ShareDecay: 5 * time.Second,
+		MinShortShare: 0.02, MaxShortShare: 0.15, ShortHeadroom: 1.3, ShareDecay: 2 * time.Second,
 		MaxScanned: 2000, MaxStarts: 64, EvictionsPerSecond: 20,
 		NominationTimeout: 10 * time.Second, EvictPause: 30 * time.Second,
 	}
@@ -134,7 +134,7 @@
 		p.shortShare = 0
 		return
 	}
-	used := p.policy.ShortHeadroom * r.shortUse().Share(r.capacity)
+	used := p.policy.ShortHeadroom * r.shortUse.Share(r.capacity)
 	elapsed := now.Sub(p.lastPlan)
 	if p.lastPlan.IsZero() {
 		elapsed = 0
@@ -161,7 +161,7 @@
 	}
 	bound := r.p.policy.ShortBound
 	if k := r.s.Kinds[j.Kind]; k != nil && k.Runs >= minRunsToTrust {
-		return class(k.MeanMs > float64(bound.Milliseconds()))
+		return class(!r.knownShort(j.Kind))
 	}
 	if r.outrunKinds[j.Kind] {
 		return longJob
@@ -174,6 +174,15 @@
 	return shortJob
 }
 
+// knownShort reports whether finished runs show that a kind is short.
+//
+// Only such kinds build up the kept share: when many jobs of unknown kinds start
+// at once, nothing says that short work will follow them.
+func (r *round) knownShort(kind string) bool {
+	k := r.s.Kinds[kind]
+	return k != nil && k.Runs >= minRunsToTrust && k.MeanMs <= float64(r.p.policy.ShortBound.Milliseconds())
+}
+
 // outran reports whether a running task has taken longer than any short one.
 func (r *round) outran(j *tbstate.Job) bool {
 	return j.Phase.Placed() && r.s.NowMs-j.StartedMs > r.p.policy.ShortBound.Milliseconds()
--- a/core/tbplacement/round.go
+++ b/core/tbplacement/round.go
@@ -17,8 +17,6 @@
 	free   tbresource.Amount
 	// stopping is held by tasks that were told to stop.
 	stopping tbresource.Amount
-	// longUse is held by long jobs.
-	longUse tbresource.Amount
 	// trial is true for a worker that may run only one task to prove itself.
 	trial bool
 }
@@ -37,6 +35,9 @@
 	now      time.Time
 	seats    []*seat
 	capacity tbresource.Amount
+	// longUse is held by long jobs, shortUse by jobs of kinds that are known to be short.
+	longUse  tbresource.Amount
+	shortUse tbresource.Amount
 	teamUse  map[string]tbresource.Amount
 	scanned  int
 	starts   int
@@ -94,7 +95,9 @@
 	st.free = st.actual
 	r.s.EachTask(w.ID, func(j *tbstate.Job) {
 		if r.classOf(j) == longJob {
-			st.longUse = st.longUse.Add(j.Resources)
+			r.longUse = r.longUse.Add(j.Resources)
+		} else if r.knownShort(j.Kind) {
+			r.shortUse = r.shortUse.Add(j.Resources)
 		}
 		if j.Phase == tbstate.JobStopping {
 			st.stopping = st.stopping.Add(j.Resources)
@@ -121,15 +124,6 @@
 	return nil
 }
 
-// shortUse returns what short jobs hold now.
-func (r *round) shortUse() tbresource.Amount {
-	var used tbresource.Amount
-	for _, st := range r.seats {
-		used = used.Add(r.s.Reserved(st.worker.ID)).Sub(st.longUse)
-	}
-	return used
-}
-
 // consider plans one queued job and reports whether to go on.
 func (r *round) consider(j *tbstate.Job) bool {
 	r.scanned++
@@ -192,6 +186,9 @@
 	if len(r.seats) == 0 {
 		return nil, WaitNoWorkers
 	}
+	if c == longJob && !j.Urgent && r.overLongShare(j) {
+		return nil, WaitKeptForShort
+	}
 	var best *seat
 	var bestLeft float64
 	reason := WaitNeverFits
@@ -200,11 +197,7 @@
 			continue
 		}
 		if !j.Resources.Fits(st.free) {
-			reason = moreHopeful(reason, WaitNoRoom)
-			continue
-		}
-		if c == longJob && !j.Urgent && r.overLongShare(st, j) {
-			reason = moreHopeful(reason, WaitKeptForShort)
+			reason = WaitNoRoom
 			continue
 		}
 		left := st.free.Sub(j.Resources).Share(st.worker.Capacity)
@@ -215,31 +208,19 @@
 	return best, reason
 }
 
-// moreHopeful keeps the reason that says most about when the job may start.
-func moreHopeful(a, b WaitReason) WaitReason {
-	if a == WaitKeptForShort {
-		return a
-	}
-	return b
-}
-
-// overLongShare keeps part of each worker from long jobs.
+// overLongShare keeps part of the whole capacity from long jobs.
 //
-// A worker that holds no long job takes one of any size, or else a job larger
-// than the rest of the share could never start.
-func (r *round) overLongShare(st *seat, j *tbstate.Job) bool {
-	if st.longUse == (tbresource.Amount{}) {
-		return false
-	}
-	use := st.longUse.Add(j.Resources).Share(st.worker.Capacity)
-	return use > 1-r.p.shortShare
+// The share is kept over all workers, not on each: with 0.13 kept on a worker of
+// 32 processors, three jobs of 8 fit and 8 processors would idle instead of 4.
+func (r *round) overLongShare(j *tbstate.Job) bool {
+	return r.longUse.Add(j.Resources).Share(r.capacity) > 1-r.p.shortShare
 }
 
 func (r *round) start(j *tbstate.Job, c class, st *seat) {
 	st.free = st.free.Sub(j.Resources)
 	st.actual = st.actual.Sub(j.Resources)
 	if c == longJob {
-		st.longUse = st.longUse.Add(j.Resources)
+		r.longUse = r.longUse.Add(j.Resources)
 	}
 	if st.trial {
 		st.free, st.actual = tbresource.Amount{}, tbresource.Amount{}
@@ -379,17 +360,22 @@
 // The kept share follows the use by short work and is gone after a quiet spell.
 // A burst after it would wait until a long task ends, so long tasks that can
 // resume from a checkpoint give way, as few as needed and each only now and then.
+// They give way only while they hold more than their part: a backlog of short
+// work in which everything counts must not keep stopping long tasks.
 func (r *round) makeRoomForShort() {
 	if !r.p.policy.Learn {
 		return
 	}
 	wanted := r.shortWaiting
+	longUse := r.longUse
 	for _, st := range r.seats {
 		wanted = wanted.Sub(st.stopping)
+		longUse = longUse.Sub(st.stopping)
 	}
 	for _, st := range r.seats {
 		for _, j := range r.s.TasksOn(st.worker.ID) {
-			if wanted.MilliProcessors <= 0 && wanted.MemoryMB <= 0 && wanted.Accelerators <= 0 {
+			enough := wanted.MilliProcessors <= 0 && wanted.MemoryMB <= 0 && wanted.Accelerators <= 0
+			if enough || longUse.Share(r.capacity) <= 1-r.p.shortShare {
 				return
 			}
 			if r.p.evictTokens < 1 || !r.givesWayToShort(j) {
@@ -397,6 +383,7 @@
 			}
 			r.evict(j, r.evictReason(j))
 			wanted = wanted.Sub(j.Resources)
+			longUse = longUse.Sub(j.Resources)
 		}
 	}
 }
