--- a/io/tbdaemon/counters.go
+++ b/io/tbdaemon/counters.go
@@ -7,15 +7,18 @@
 	"runtime/metrics"
 	"sort"
 	"strings"
+
+	"tamarackbarrow/io/tbpeer"
 )
 
 // counters holds one counter for each reason of refusal, retry and unknown outcome.
 type counters struct {
-	vars *expvar.Map
+	vars    *expvar.Map
+	traffic *tbpeer.Traffic
 }
 
-func newCounters() *counters {
-	return &counters{vars: new(expvar.Map).Init()}
+func newCounters(traffic *tbpeer.Traffic) *counters {
+	return &counters{vars: new(expvar.Map).Init(), traffic: traffic}
 }
 
 // add counts one under a name such as "refused.noLease".
@@ -57,6 +60,8 @@
 	lines := []string{
 		fmt.Sprintf("%q: %s", "counters", c.vars.String()),
 		fmt.Sprintf("%q: %d", "heapBytes", samples[0].Value.Uint64()),
+		fmt.Sprintf("%q: %d", "peerBytesSent", c.traffic.Sent.Load()),
+		fmt.Sprintf("%q: %d", "peerBytesReceived", c.traffic.Received.Load()),
 		fmt.Sprintf("%q: %d", "goroutines", samples[1].Value.Uint64()),
 	}
 	fmt.Fprintf(w, "{\n%s\n}\n", strings.Join(lines, ",\n"))
--- a/io/tbdaemon/daemon.go
+++ b/io/tbdaemon/daemon.go
@@ -50,6 +50,7 @@
 	storage  *storage
 	folder   *tbstore.Folder
 	counters *counters
+	traffic  *tbpeer.Traffic
 	// ready, target and queued are published for other goroutines after each batch.
 	ready   atomic.Bool
 	target  atomic.Value
@@ -64,12 +65,13 @@
 // New opens the data folder, if any, and returns a daemon that does not run yet.
 func New(settings tbsettings.Settings, log hclog.Logger) (*Daemon, error) {
 	ctx, cancel := context.WithCancel(context.Background())
+	traffic := &tbpeer.Traffic{}
 	httpClient := tbrunnerclient.NewHTTPClient()
 	d := &Daemon{
 		settings: settings, log: log,
 		codec: tbcodec.New(parseBundle), events: make(chan tbnode.Event, eventQueueSize),
-		peers: tbpeer.New(settings.SourceIP), runners: tbrunnerclient.New(httpClient), backends: httpClient,
-		outboxes: map[string]*outbox{}, counters: newCounters(),
+		peers: tbpeer.New(settings.SourceIP, traffic), runners: tbrunnerclient.New(httpClient), backends: httpClient,
+		outboxes: map[string]*outbox{}, counters: newCounters(traffic), traffic: traffic,
 		stopped: make(chan struct{}), ctx: ctx, cancel: cancel,
 	}
 	d.target.Store("")
@@ -136,7 +138,7 @@
 	}
 	server := d.httpServer()
 	d.goRun(func() {
-		if err := tbpeer.Serve(d.ctx, peerListener, &peerHandler{d: d}); err != nil {
+		if err := tbpeer.Serve(d.ctx, d.traffic.Count(peerListener), &peerHandler{d: d}); err != nil {
 			d.log.Debug("peer listener ended", "error", err)
 		}
 	})
--- a/io/tbpeer/client.go
+++ b/io/tbpeer/client.go
@@ -20,9 +20,10 @@
 
 // Client sends requests to peers over pooled connections.
 type Client struct {
-	source net.Addr
-	mu     sync.Mutex
-	idle   map[string][]idleConn
+	source  net.Addr
+	traffic *Traffic
+	mu      sync.Mutex
+	idle    map[string][]idleConn
 }
 
 type idleConn struct {
@@ -31,8 +32,8 @@
 }
 
 // New returns a client without connections; it dials from sourceIP unless that is empty.
-func New(sourceIP string) *Client {
-	c := &Client{idle: map[string][]idleConn{}}
+func New(sourceIP string, traffic *Traffic) *Client {
+	c := &Client{traffic: traffic, idle: map[string][]idleConn{}}
 	if sourceIP != "" {
 		c.source = &net.TCPAddr{IP: net.ParseIP(sourceIP)}
 	}
@@ -66,7 +67,7 @@
 	if err != nil {
 		return nil, &NotSentError{Err: err}
 	}
-	return drpcconn.New(raw), nil
+	return drpcconn.New(countedConn{Conn: raw, traffic: c.traffic}), nil
 }
 
 func (c *Client) takeIdle(address string) *drpcconn.Conn {
--- /dev/null
+++ b/io/tbpeer/traffic.go
@@ -0,0 +1,55 @@
+package tbpeer
+
+import (
+	"net"
+	"sync/atomic"
+)
+
+// Traffic counts the bytes of connections to and from peers.
+type Traffic struct {
+	Sent     atomic.Int64
+	Received atomic.Int64
+}
+
+// countedConn adds what passes through a connection to a Traffic.
+type countedConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+// Read implements net.Conn.
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.traffic.Received.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.traffic.Sent.Add(int64(n))
+	return n, err
+}
+
+// countedListener counts the bytes of all accepted connections.
+type countedListener struct {
+	net.Listener
+	traffic *Traffic
+}
+
+// Accept implements net.Listener.
+func (l countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{Conn: conn, traffic: l.traffic}, nil
+}
+
+// CountConn wraps a connection so that it is counted.
+func (t *Traffic) CountConn(conn net.Conn) net.Conn { return countedConn{Conn: conn, traffic: t} }
+
+// Count wraps a listener so that its connections are counted.
+func (t *Traffic) Count(l net.Listener) net.Listener {
+	return countedListener{Listener: l, traffic: t}
+}
--- a/io/tbstandin/runner.go
+++ b/io/tbstandin/runner.go
@@ -13,6 +13,7 @@
 	"connectrpc.com/connect"
 	"github.com/cespare/xxhash/v2"
 
+	"tamarackbarrow/io/tbpeer"
 	pb "tamarackbarrow/io/tbproto/v1"
 	"tamarackbarrow/io/tbproto/v1/tbprotov1connect"
 )
@@ -114,6 +115,21 @@
 	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}
 }
 
+// newCountedClient counts the bytes of its connections.
+func newCountedClient(traffic *tbpeer.Traffic) *http.Client {
+	dialer := &net.Dialer{Timeout: time.Second}
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return traffic.CountConn(conn), nil
+		},
+	}}
+}
+
 // Address returns where the runner listens.
 func (r *Runner) Address() string { return r.listener.Addr().String() }
 
--- a/io/tbstandin/worker.go
+++ b/io/tbstandin/worker.go
@@ -17,6 +17,7 @@
 
 	"tamarackbarrow/core/tbresource"
 	"tamarackbarrow/io/tbcodec"
+	"tamarackbarrow/io/tbpeer"
 	pb "tamarackbarrow/io/tbproto/v1"
 	"tamarackbarrow/io/tbproto/v1/tbprotov1connect"
 )
@@ -47,6 +48,11 @@
 	Seed       uint64
 	// CheckpointTime is how long a task takes to checkpoint and stop.
 	CheckpointTime time.Duration
+	// Step and Announce are how often the worker looks at its tasks and announces itself, 0 for the defaults.
+	Step     time.Duration
+	Announce time.Duration
+	// Traffic counts the bytes of the worker's announcements, if set.
+	Traffic *tbpeer.Traffic
 	// FailAll makes every task fail at once.
 	FailAll bool
 }
@@ -113,9 +119,18 @@
 	if err != nil {
 		return nil, err
 	}
+	if cfg.Step == 0 {
+		cfg.Step = workerStep
+	}
+	if cfg.Announce == 0 {
+		cfg.Announce = announceInterval
+	}
+	if cfg.Traffic == nil {
+		cfg.Traffic = &tbpeer.Traffic{}
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	w := &Worker{
-		cfg: cfg, incarnation: uint64(time.Now().UnixNano()), began: time.Now(), listener: l, client: newClient(),
+		cfg: cfg, incarnation: uint64(time.Now().UnixNano()), began: time.Now(), listener: l, client: newCountedClient(cfg.Traffic),
 		ctx: ctx, stop: stop, poke: make(chan struct{}, 1),
 		rng:   rand.New(rand.NewPCG(cfg.Seed, xxhash.Sum64String(cfg.ID))),
 		tasks: map[string]*task{}, ended: map[taskKey]*pb.TaskReport{}, highest: map[string]seenEpoch{},
@@ -273,7 +288,7 @@
 
 // workLoop ends tasks that are done or whose lease ran out.
 func (w *Worker) workLoop() {
-	ticker := time.NewTicker(workerStep)
+	ticker := time.NewTicker(w.cfg.Step)
 	defer ticker.Stop()
 	for {
 		select {
@@ -306,7 +321,7 @@
 }
 
 func (w *Worker) announceLoop() {
-	ticker := time.NewTicker(announceInterval)
+	ticker := time.NewTicker(w.cfg.Announce)
 	defer ticker.Stop()
 	for {
 		w.announce()
