Bound the work of one plan of slot shares

Cause: for the size of two years the plan of slot shares was timed with 17 entries: the first plan of one service with 3,700 runners took 4.47 s, in which the leader answers nobody. For 65 runners it was 3.5 ms.

--- a/core/tbshare/share.go
+++ b/core/tbshare/share.go
@@ -52,6 +52,8 @@
 	target  [][]int
 	granted [][]int
 	total   []int
+	// used counts granted slots and raised targets of each runner.
+	used    []int
 	changed [][]bool
 }
 
@@ -92,6 +94,7 @@
 		p.target = append(p.target, target)
 		p.granted = append(p.granted, granted)
 		p.changed = append(p.changed, make([]bool, len(holders)))
+		p.used = append(p.used, usedSlots(target, granted))
 	}
 	return p
 }
@@ -170,8 +173,11 @@
 }
 
 // raise hands out free slots, one at a time to the holder that lacks most.
+//
+// It hands out a bounded number in one plan: with 3,700 runners of one service
+// the first plan would otherwise hold up its caller for seconds.
 func (p *plan) raise(want []int) {
-	for {
+	for range maxRaises {
 		h := p.neediest(want)
 		if h < 0 {
 			return
@@ -185,6 +191,9 @@
 	}
 }
 
+// maxRaises bounds the slots handed out by one plan.
+const maxRaises = 2048
+
 func (p *plan) neediest(want []int) int {
 	best, lack := -1, 0
 	for h := range p.holders {
@@ -199,7 +208,7 @@
 func (p *plan) bestToRaise(h int) int {
 	best, bestScore := -1, 0
 	for r, runner := range p.runners {
-		room := runner.Slots - p.used(r)
+		room := runner.Slots - p.used[r]
 		if p.target[r][h] < p.granted[r][h] {
 			// Taking back what is not surrendered yet needs no room.
 			room = max(room, 1)
@@ -218,17 +227,18 @@
 	return best
 }
 
-// used counts granted slots and raised targets of a runner.
-func (p *plan) used(r int) int {
-	sum := p.granted[r][len(p.holders)]
-	for h := range p.holders {
-		sum += max(p.granted[r][h], p.target[r][h])
+// usedSlots counts, for each holder, the larger of granted and target; the last of granted belongs to others.
+func usedSlots(target, granted []int) int {
+	sum := granted[len(granted)-1]
+	for h := range target {
+		sum += max(granted[h], target[h])
 	}
 	return sum
 }
 
 func (p *plan) set(r, h, slots int) {
 	p.total[h] += slots - p.target[r][h]
+	p.used[r] += max(p.granted[r][h], slots) - max(p.granted[r][h], p.target[r][h])
 	p.target[r][h] = slots
 	p.changed[r][h] = true
 }
