Learn how batch tasks slow the services beside them

Change: runners announce the worker of their instance; entries report mean times of runners once a second; the leader learns the cost of each pair of service and job kind and the undisturbed time of a service together (core/tbneighbour). Placement keeps away what would slow a service beyond a limit; a task beside a slowed service is throttled first and stopped next, at most once for each measurement that can show the last action. Unconfirmed costs fade, so that a kind is tried again.

--- a/core/tbcontrol/leadership.go
+++ b/core/tbcontrol/leadership.go
@@ -251,6 +251,9 @@
 	}
 	l.loads[sync.Session.Key] = entryDemand{at: now, loads: sync.Loads, demand: demand}
 	l.confirmed[sync.Session.Key] = sync.ConfirmedVersion
+	for _, t := range sync.Timings {
+		l.planner.Neighbours().Observe(t.Runner, t.Answers, t.Mean)
+	}
 	for _, id := range sync.HeardRunners {
 		l.heardRunners[id] = now
 	}
--- a/core/tbcontrol/types.go
+++ b/core/tbcontrol/types.go
@@ -208,6 +208,13 @@
 	SlowPercent int
 }
 
+// RunnerTiming is how long one runner took for an entry's requests since its last report.
+type RunnerTiming struct {
+	Runner  string
+	Answers int
+	Mean    time.Duration
+}
+
 // TaskUsage is a lagged measurement of one task.
 type TaskUsage struct {
 	Job   string
@@ -227,6 +234,7 @@
 	HeardWorkers []string
 	Loads        []ServiceLoad
 	Usages       []TaskUsage
+	Timings      []RunnerTiming
 }
 
 // EntryLoad is the last report of another entry.
@@ -254,6 +262,8 @@
 	GoneTasks   []string
 	Loads       []EntryLoad
 	Replicas    []tbconsensus.Member
+	// Throttled lists all jobs whose tasks may use only part of their processors.
+	Throttled []string
 }
 
 // JobView is what is told of a job.
--- a/core/tbcontrol/views.go
+++ b/core/tbcontrol/views.go
@@ -38,8 +38,9 @@
 func (c *Control) view(sync Sync) View {
 	v := View{
 		Term: c.replica.Term(), Index: c.state.Applied,
-		Replicas: c.replica.Members().Members,
-		Loads:    c.peerLoads(sync.Session.Key),
+		Replicas:  c.replica.Members().Members,
+		Loads:     c.peerLoads(sync.Session.Key),
+		Throttled: c.lead.planner.Throttled(),
 	}
 	changes, ok := c.state.ChangesSince(sync.ViewIndex)
 	if !ok || sync.ViewIndex == 0 {
--- a/core/tbentry/backends.go
+++ b/core/tbentry/backends.go
@@ -204,12 +204,19 @@
 	for _, id := range slices.Sorted(maps.Keys(e.view.byWorker[worker])) {
 		j := e.view.tasks[id]
 		if j.WorkerIncarnation == w.Incarnation {
-			o.Tasks = append(o.Tasks, TaskOrder{Task: j, Stop: j.Phase == tbstate.JobStopping})
+			order := TaskOrder{Task: j, Stop: j.Phase == tbstate.JobStopping}
+			if e.view.throttled[id] {
+				order.ThrottlePercent = throttlePercent
+			}
+			o.Tasks = append(o.Tasks, order)
 		}
 	}
 	return o
 }
 
+// throttlePercent is the share of its processors that a throttled task may use.
+const throttlePercent = 50
+
 // pushOrders tells a worker that announced here lately, ahead of its next announcement.
 func (e *Entry) pushOrders(now time.Time, worker string) {
 	clock, ok := e.care.clocks[worker]
--- a/core/tbentry/calls.go
+++ b/core/tbentry/calls.go
@@ -244,7 +244,10 @@
 func (e *Entry) noteRunner(now time.Time, a *attempt, ev RunEnded) {
 	switch ev.Kind {
 	case RunAnswered:
-		a.service.estimate.Observe(now.Sub(a.started))
+		took := now.Sub(a.started)
+		a.service.estimate.Observe(took)
+		t := e.timings[a.runner.ID]
+		e.timings[a.runner.ID] = timing{answers: t.answers + 1, sum: t.sum + took}
 		a.service.pool.NoteSuccess(a.runner)
 	case RunRefused:
 	default:
--- a/core/tbentry/entry.go
+++ b/core/tbentry/entry.go
@@ -25,14 +25,16 @@
 	calls    map[uint64]*call
 	attempts map[uint64]*attempt
 	// nextID numbers attempts, claims and proposals of this session.
-	nextID   uint64
-	proposer proposer
-	sync     syncer
-	care     backendCare
-	stopping bool
-	closing  bool
-	stopped  bool
-	effects  []Effect
+	nextID      uint64
+	proposer    proposer
+	sync        syncer
+	care        backendCare
+	timings     map[string]timing
+	nextTimings time.Time
+	stopping    bool
+	closing     bool
+	stopped     bool
+	effects     []Effect
 }
 
 // service is what the entry keeps of one latency-critical service.
@@ -63,6 +65,7 @@
 		proposer: newProposer(),
 		sync:     syncer{next: now},
 		care:     newBackendCare(),
+		timings:  map[string]timing{},
 	}
 	e.startSession()
 	return e
--- a/core/tbentry/sync.go
+++ b/core/tbentry/sync.go
@@ -22,14 +22,16 @@
 	tasks    map[string]tbstate.Job
 	// byWorker holds the jobs of each worker.
 	byWorker map[string]map[string]bool
-	replicas []tbconsensus.Member
+	// throttled holds jobs whose tasks may use only part of their processors.
+	throttled map[string]bool
+	replicas  []tbconsensus.Member
 }
 
 func newView() view {
 	return view{
 		sessions: map[string]tbstate.Session{}, runners: map[string]tbstate.Runner{},
 		workers: map[string]tbstate.Worker{}, tasks: map[string]tbstate.Job{},
-		byWorker: map[string]map[string]bool{},
+		byWorker: map[string]map[string]bool{}, throttled: map[string]bool{},
 	}
 }
 
@@ -71,12 +73,37 @@
 	if e.view.bundle != nil {
 		sync.ConfirmedVersion = e.view.bundle.Version
 	}
+	sync.Timings = e.takeTimings(now)
 	for _, name := range slices.Sorted(maps.Keys(e.services)) {
 		sync.Loads = append(sync.Loads, e.load(now, e.services[name]))
 	}
 	return sync
 }
 
+// timingInterval is how often the runners' times are reported; fewer answers say little.
+const timingInterval = time.Second
+
+// timing sums up the answers of one runner.
+type timing struct {
+	answers int
+	sum     time.Duration
+}
+
+// takeTimings returns the runners' mean times since the last report, when one is due.
+func (e *Entry) takeTimings(now time.Time) []tbcontrol.RunnerTiming {
+	if now.Before(e.nextTimings) {
+		return nil
+	}
+	e.nextTimings = now.Add(timingInterval)
+	var all []tbcontrol.RunnerTiming
+	for _, id := range slices.Sorted(maps.Keys(e.timings)) {
+		t := e.timings[id]
+		all = append(all, tbcontrol.RunnerTiming{Runner: id, Answers: t.answers, Mean: t.sum / time.Duration(t.answers)})
+	}
+	clear(e.timings)
+	return all
+}
+
 func (e *Entry) load(now time.Time, s *service) tbcontrol.ServiceLoad {
 	inFlight := 0
 	for _, r := range s.pool.Runners() {
@@ -225,6 +252,7 @@
 // useTasks follows placements and tells the workers concerned at once.
 func (e *Entry) useTasks(now time.Time, v tbcontrol.View) {
 	changed := map[string]bool{}
+	e.useThrottled(v.Throttled, changed)
 	for _, id := range v.GoneTasks {
 		e.dropTask(id, changed)
 	}
@@ -242,6 +270,23 @@
 	}
 }
 
+// useThrottled notes the workers of which a task's throttle changed.
+func (e *Entry) useThrottled(throttled []string, changed map[string]bool) {
+	next := make(map[string]bool, len(throttled))
+	for _, id := range throttled {
+		next[id] = true
+		if !e.view.throttled[id] {
+			changed[e.view.tasks[id].Worker] = true
+		}
+	}
+	for id := range e.view.throttled {
+		if !next[id] {
+			changed[e.view.tasks[id].Worker] = true
+		}
+	}
+	e.view.throttled = next
+}
+
 func (e *Entry) dropTask(id string, changed map[string]bool) {
 	j, ok := e.view.tasks[id]
 	if !ok {
--- a/core/tbentry/types.go
+++ b/core/tbentry/types.go
@@ -273,6 +273,8 @@
 type TaskOrder struct {
 	Task tbstate.Job
 	Stop bool
+	// ThrottlePercent is the share of its processors that the task may use, 0 for all.
+	ThrottlePercent int
 }
 
 // TaskAck tells a worker that a report is recorded.
--- a/core/tbplacement/planner.go
+++ b/core/tbplacement/planner.go
@@ -1,8 +1,11 @@
 package tbplacement
 
 import (
+	"maps"
+	"slices"
 	"time"
 
+	"tamarackbarrow/core/tbneighbour"
 	"tamarackbarrow/core/tbstate"
 )
 
@@ -10,6 +13,14 @@
 type Policy struct {
 	// Learn is false for the baseline that trusts declared run times and keeps no share for short work.
 	Learn bool
+	// LearnNeighbours is false for the baseline that does not look at how tasks slow services.
+	LearnNeighbours bool
+	// SlowLimit is the slowdown of a service, 1 for none, above which tasks give way.
+	SlowLimit float64
+	// CalmLimit is the slowdown below which throttled tasks get their processors back.
+	CalmLimit float64
+	// MeasureLag is how long an action takes to show in the measurements.
+	MeasureLag time.Duration
 	// ShortBound is the run time up to which a job counts as short.
 	ShortBound time.Duration
 	// MinShortShare and MaxShortShare bound the capacity kept for short work.
@@ -34,7 +45,8 @@
 // DefaultPolicy returns the policy of the daemon.
 func DefaultPolicy() Policy {
 	return Policy{
-		Learn: true, ShortBound: 30 * time.Second,
+		Learn: true, LearnNeighbours: true, SlowLimit: 1.2, CalmLimit: 1.1, MeasureLag: 3 * time.Second,
+		ShortBound:    30 * time.Second,
 		MinShortShare: 0.02, MaxShortShare: 0.15, ShortHeadroom: 1.3, ShareDecay: 2 * time.Second,
 		MaxScanned: 2000, MaxStarts: 64, EvictionsPerSecond: 20,
 		NominationTimeout: 10 * time.Second, EvictPause: 30 * time.Second,
@@ -52,6 +64,11 @@
 	lastPlan    time.Time
 	shortShare  float64
 	waiting     map[string]WaitReason
+	neighbours  *tbneighbour.Learner
+	// throttled holds jobs whose tasks were throttled for a service.
+	throttled map[string]bool
+	// actedAt is when a worker's tasks were last throttled, released or stopped for a service.
+	actedAt map[string]time.Time
 }
 
 type nomination struct {
@@ -68,6 +85,7 @@
 	WaitNeverFits     WaitReason = "fitsNoPresentWorker"
 	WaitNoRoom        WaitReason = "noRoomNow"
 	WaitQuota         WaitReason = "teamQuotaUsed"
+	WaitWouldSlow     WaitReason = "wouldSlowAService"
 	WaitKeptForShort  WaitReason = "roomKeptForShortWork"
 	WaitForEviction   WaitReason = "waitsForEviction"
 	WaitNotYetPlanned WaitReason = "notYetPlanned"
@@ -77,7 +95,8 @@
 func New(policy Policy) *Planner {
 	return &Planner{
 		policy: policy, nominated: map[string]nomination{}, lastEvicted: map[string]time.Time{},
-		waiting: map[string]WaitReason{}, shortShare: policy.MinShortShare,
+		waiting: map[string]WaitReason{}, neighbours: tbneighbour.New(),
+		throttled: map[string]bool{}, actedAt: map[string]time.Time{}, shortShare: policy.MinShortShare,
 	}
 }
 
@@ -92,12 +111,19 @@
 // ShortShare returns the share of capacity that is kept for short work at present.
 func (p *Planner) ShortShare() float64 { return p.shortShare }
 
+// Neighbours returns what is learned of how tasks slow services.
+func (p *Planner) Neighbours() *tbneighbour.Learner { return p.neighbours }
+
+// Throttled returns the jobs whose tasks may use only part of their processors, in order.
+func (p *Planner) Throttled() []string { return slices.Sorted(maps.Keys(p.throttled)) }
+
 // Plan returns the starts and evictions that the state asks for at now.
 func (p *Planner) Plan(s *tbstate.State, now time.Time) []tbstate.Command {
 	p.refill(now)
 	p.dropOldNominations(s, now)
 	r := newRound(p, s, now)
 	p.updateShortShare(r, now)
+	r.protectServices()
 	s.EachQueued(r.consider)
 	r.makeRoomForShort()
 	p.lastPlan = now
--- a/core/tbplacement/round.go
+++ b/core/tbplacement/round.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"tamarackbarrow/core/tbneighbour"
 	"tamarackbarrow/core/tbresource"
 	"tamarackbarrow/core/tbstate"
 )
@@ -17,6 +18,9 @@
 	free   tbresource.Amount
 	// stopping is held by tasks that were told to stop.
 	stopping tbresource.Amount
+	// services run on the same instance; tasks is what they share it with.
+	services []string
+	tasks    []tbneighbour.Task
 	// trial is true for a worker that may run only one task to prove itself.
 	trial bool
 }
@@ -47,6 +51,7 @@
 	// shortWaiting is the size of all short jobs that found no room, shortRank their highest rank.
 	shortWaiting tbresource.Amount
 	shortRank    int
+	neighbours   []neighbour
 	commands     []tbstate.Command
 }
 
@@ -65,6 +70,7 @@
 		r.seats = append(r.seats, r.newSeat(w))
 	}
 	r.holdNominated()
+	r.findServices()
 	return r
 }
 
@@ -99,6 +105,7 @@
 		} else if r.knownShort(j.Kind) {
 			r.shortUse = r.shortUse.Add(j.Resources)
 		}
+		st.tasks = append(st.tasks, st.task(j))
 		if j.Phase == tbstate.JobStopping {
 			st.stopping = st.stopping.Add(j.Resources)
 		}
@@ -197,7 +204,13 @@
 			continue
 		}
 		if !j.Resources.Fits(st.free) {
-			reason = WaitNoRoom
+			if reason != WaitWouldSlow {
+				reason = WaitNoRoom
+			}
+			continue
+		}
+		if !j.Urgent && r.wouldSlow(st, j) {
+			reason = WaitWouldSlow
 			continue
 		}
 		left := st.free.Sub(j.Resources).Share(st.worker.Capacity)
@@ -225,6 +238,7 @@
 	if st.trial {
 		st.free, st.actual = tbresource.Amount{}, tbresource.Amount{}
 	}
+	st.tasks = append(st.tasks, st.task(j))
 	r.teamUse[j.Team] = r.teamUse[j.Team].Add(j.Resources)
 	r.starts++
 	r.commands = append(r.commands, tbstate.StartTask{Job: j.ID, Worker: st.worker.ID, Epoch: j.Epoch + 1})
--- a/core/tbstate/types.go
+++ b/core/tbstate/types.go
@@ -90,6 +90,8 @@
 	Service     string
 	Slots       int
 	Phase       RunnerPhase
+	// Worker is the worker on the same instance, or empty.
+	Worker string
 	// Grants are ordered by session; the sum of Granted never exceeds Slots.
 	Grants  []Grant
 	Changed uint64
--- a/io/tbcodec/record.go
+++ b/io/tbcodec/record.go
@@ -32,7 +32,7 @@
 func RunnerToWire(r tbstate.Runner) *pb.RunnerRecord {
 	m := &pb.RunnerRecord{
 		Id: r.ID, Incarnation: r.Incarnation, Address: r.Address, DataCentre: r.DataCentre,
-		Service: r.Service, Slots: uint32(r.Slots), Phase: string(r.Phase), Changed: r.Changed,
+		Service: r.Service, Slots: uint32(r.Slots), Phase: string(r.Phase), Changed: r.Changed, Worker: r.Worker,
 	}
 	for _, g := range r.Grants {
 		m.Grants = append(m.Grants, &pb.GrantRecord{
@@ -46,7 +46,7 @@
 func RunnerFromWire(m *pb.RunnerRecord) tbstate.Runner {
 	r := tbstate.Runner{
 		ID: m.GetId(), Incarnation: m.GetIncarnation(), Address: m.GetAddress(), DataCentre: m.GetDataCentre(),
-		Service: m.GetService(), Slots: int(m.GetSlots()), Phase: tbstate.RunnerPhase(m.GetPhase()), Changed: m.GetChanged(),
+		Service: m.GetService(), Slots: int(m.GetSlots()), Phase: tbstate.RunnerPhase(m.GetPhase()), Changed: m.GetChanged(), Worker: m.GetWorker(),
 	}
 	for _, g := range m.GetGrants() {
 		r.Grants = append(r.Grants, tbstate.Grant{
--- a/io/tbcodec/sync.go
+++ b/io/tbcodec/sync.go
@@ -16,6 +16,9 @@
 		ViewIndex: s.ViewIndex, HeardRunners: s.HeardRunners, HeardWorkers: s.HeardWorkers,
 		Loads: loadsToWire(s.Loads),
 	}
+	for _, t := range s.Timings {
+		m.Timings = append(m.Timings, &pb.RunnerTiming{Runner: t.Runner, Answers: uint32(t.Answers), MeanUs: uint32(t.Mean.Microseconds())})
+	}
 	for _, u := range s.Usages {
 		m.Usages = append(m.Usages, &pb.TaskUsage{Job: u.Job, Usage: AmountToWire(u.Usage), AgeMs: millis(u.Age)})
 	}
@@ -29,6 +32,11 @@
 		ViewIndex: m.GetViewIndex(), HeardRunners: m.GetHeardRunners(), HeardWorkers: m.GetHeardWorkers(),
 		Loads: loadsFromWire(m.GetLoads()),
 	}
+	for _, t := range m.GetTimings() {
+		s.Timings = append(s.Timings, tbcontrol.RunnerTiming{
+			Runner: t.GetRunner(), Answers: int(t.GetAnswers()), Mean: time.Duration(t.GetMeanUs()) * time.Microsecond,
+		})
+	}
 	for _, u := range m.GetUsages() {
 		s.Usages = append(s.Usages, tbcontrol.TaskUsage{Job: u.GetJob(), Usage: AmountFromWire(u.GetUsage()), Age: duration(u.GetAgeMs())})
 	}
@@ -72,6 +80,7 @@
 	m.LeaseGranted, m.SessionClosed = v.LeaseGranted, v.SessionClosed
 	m.GoneSessions, m.GoneRunners, m.GoneWorkers, m.GoneTasks = v.GoneSessions, v.GoneRunners, v.GoneWorkers, v.GoneTasks
 	m.Replicas = MembersToWire(v.Replicas)
+	m.Throttled = v.Throttled
 	if v.Bundle != nil {
 		m.Bundle = BundleToWire(*v.Bundle)
 	}
@@ -101,6 +110,7 @@
 	v.LeaseGranted, v.SessionClosed = m.GetLeaseGranted(), m.GetSessionClosed()
 	v.GoneSessions, v.GoneRunners, v.GoneWorkers, v.GoneTasks = m.GetGoneSessions(), m.GetGoneRunners(), m.GetGoneWorkers(), m.GetGoneTasks()
 	v.Replicas = MembersFromWire(m.GetReplicas())
+	v.Throttled = m.GetThrottled()
 	if m.GetBundle() != nil {
 		b, err := c.BundleFromWire(m.GetBundle())
 		if err != nil {
--- a/io/tbdaemon/wire.go
+++ b/io/tbdaemon/wire.go
@@ -50,7 +50,8 @@
 	for _, t := range o.Tasks {
 		m.Tasks = append(m.Tasks, &pb.TaskOrder{
 			Job: t.Task.ID, Epoch: t.Task.Epoch, Stop: t.Stop, Kind: t.Task.Kind, Payload: t.Task.Payload,
-			ResumeFrom: t.Task.Checkpoint, Resources: tbcodec.AmountToWire(t.Task.Resources),
+			ThrottlePercent: uint32(t.ThrottlePercent),
+			ResumeFrom:      t.Task.Checkpoint, Resources: tbcodec.AmountToWire(t.Task.Resources),
 		})
 	}
 	for _, ack := range o.Acknowledged {
@@ -62,7 +63,7 @@
 func runnerFromAnnouncement(m *pb.AnnounceRunnerRequest) tbstate.Runner {
 	r := tbstate.Runner{
 		ID: m.GetId(), Incarnation: m.GetIncarnation(), Address: m.GetAddress(), DataCentre: m.GetDataCentre(),
-		Service: m.GetService(), Slots: int(m.GetSlots()), Phase: tbstate.RunnerPresent,
+		Service: m.GetService(), Slots: int(m.GetSlots()), Phase: tbstate.RunnerPresent, Worker: m.GetWorker(),
 	}
 	if m.GetLeaving() {
 		r.Phase = tbstate.RunnerLeaving
--- a/io/tbscenario/demo.go
+++ b/io/tbscenario/demo.go
@@ -145,9 +145,8 @@
 	defer cancel()
 	var jobs []*pb.JobStatus
 	for {
-		answer, err := d.jobs().Status(ctx, connect.NewRequest(&pb.JobStatusRequest{Ids: ids}))
-		if err == nil {
-			jobs = answer.Msg.GetJobs()
+		if answer, err := d.jobStatus(ctx, ids); err == nil {
+			jobs = answer
 			if allEnded(jobs) {
 				return jobs, nil
 			}
@@ -160,6 +159,14 @@
 	}
 }
 
+func (d *Deployment) jobStatus(ctx context.Context, ids []string) ([]*pb.JobStatus, error) {
+	answer, err := d.jobs().Status(ctx, connect.NewRequest(&pb.JobStatusRequest{Ids: ids}))
+	if err != nil {
+		return nil, err
+	}
+	return answer.Msg.GetJobs(), nil
+}
+
 func allEnded(jobs []*pb.JobStatus) bool {
 	for _, j := range jobs {
 		switch j.GetPhase() {
--- a/io/tbscenario/deployment.go
+++ b/io/tbscenario/deployment.go
@@ -33,6 +33,8 @@
 	// Proxied and ProxiedRunners put fault-injecting proxies before peers and runners.
 	Proxied        bool
 	ProxiedRunners bool
+	// Slowdown makes each runner share an instance with the worker of its number.
+	Slowdown func(loads []tbstandin.Load) float64
 	// Name keeps deployments of one run apart.
 	Name string
 }
@@ -100,13 +102,13 @@
 	if err := d.Cluster.WaitReady(ctx, d.Cluster.Instances...); err != nil {
 		return err
 	}
-	for i := range d.shape.Runners {
-		if err := d.addRunner(i); err != nil {
+	for i := range d.shape.Workers {
+		if err := d.addWorker(i); err != nil {
 			return err
 		}
 	}
-	for i := range d.shape.Workers {
-		if err := d.addWorker(i); err != nil {
+	for i := range d.shape.Runners {
+		if err := d.addRunner(i); err != nil {
 			return err
 		}
 	}
@@ -140,10 +142,16 @@
 }
 
 func (d *Deployment) runnerConfig(i int) tbstandin.RunnerConfig {
-	return tbstandin.RunnerConfig{
+	cfg := tbstandin.RunnerConfig{
 		ID: fmt.Sprintf("runner-%d", i+1), DataCentre: dataCentre(i), Service: "quotes", Slots: d.shape.Slots,
 		Entries: d.Addresses(), ServiceTime: d.shape.ServiceTime, Seed: d.env.Seed, Ledger: d.Ledger,
 	}
+	if d.shape.Slowdown != nil && i < len(d.Workers) {
+		w := d.Workers[i]
+		cfg.Worker = d.workerConfig(i).ID
+		cfg.Slowdown = func() float64 { return d.shape.Slowdown(w.Loads()) }
+	}
+	return cfg
 }
 
 // proxyRunner chooses the runner's address and starts a proxy that is announced instead.
--- a/io/tbscenario/scenario.go
+++ b/io/tbscenario/scenario.go
@@ -40,6 +40,7 @@
 		{Name: "urgent", About: "time until urgent tasks start on full workers", Run: runUrgent},
 		{Name: "wavefaults", About: "workers, a rack and the leader lost while jobs are cancelled in waves", Run: runWaveFaults},
 		{Name: "capacity", About: "slopes of state, traffic, processor time and memory", Run: runCapacity},
+		{Name: "colocate", About: "services beside batch tasks whose slowdowns shift", Run: runColocate},
 		{Name: "swing", About: "calls on time while demand swings within a second", Run: runSwing},
 	}
 	slices.SortFunc(all, func(a, b Scenario) int { return strings.Compare(a.Name, b.Name) })
--- a/io/tbsettings/settings.go
+++ b/io/tbsettings/settings.go
@@ -60,6 +60,8 @@
 	NewestFirst bool
 	// LearnJobs is false for placement by declared sizes in order of submission.
 	LearnJobs bool
+	// LearnNeighbours is false for placement without regard to how tasks slow services.
+	LearnNeighbours bool
 	// ShortBound is the run time up to which a job counts as short.
 	ShortBound time.Duration
 	// ShareByDemand is false for equal shares of all slots.
@@ -220,15 +222,16 @@
 
 func readPolicies(t *tbtoml.Table) Policies {
 	p := Policies{
-		Routing:       t.StringOr("routing", "leastLoaded"),
-		Handover:      t.BoolOr("handover", true),
-		Admission:     t.BoolOr("admission", true),
-		NewestFirst:   t.BoolOr("newestFirst", false),
-		LearnJobs:     t.BoolOr("learnJobs", true),
-		ShortBound:    positive(t, "shortBound", 30*time.Second),
-		ShareByDemand: t.BoolOr("shareByDemand", true),
-		SnapshotEvery: t.IntOr("snapshotEvery", 10_000),
-		BatchCommits:  t.BoolOr("batchCommits", true),
+		Routing:         t.StringOr("routing", "leastLoaded"),
+		Handover:        t.BoolOr("handover", true),
+		Admission:       t.BoolOr("admission", true),
+		NewestFirst:     t.BoolOr("newestFirst", false),
+		LearnJobs:       t.BoolOr("learnJobs", true),
+		LearnNeighbours: t.BoolOr("learnNeighbours", true),
+		ShortBound:      positive(t, "shortBound", 30*time.Second),
+		ShareByDemand:   t.BoolOr("shareByDemand", true),
+		SnapshotEvery:   t.IntOr("snapshotEvery", 10_000),
+		BatchCommits:    t.BoolOr("batchCommits", true),
 	}
 	switch p.Routing {
 	case "leastLoaded", "twoChoices", "random":
--- a/io/tbstandin/runner.go
+++ b/io/tbstandin/runner.go
@@ -43,8 +43,11 @@
 	Entries []string
 	// ServiceTime draws how long one request takes.
 	ServiceTime func(*rand.Rand) time.Duration
-	Seed        uint64
-	Ledger      *Ledger
+	// Worker is the worker on the same instance, Slowdown how much its tasks slow this runner.
+	Worker   string
+	Slowdown func() float64
+	Seed     uint64
+	Ledger   *Ledger
 	// Address is where to listen; empty takes any free one.
 	Address string
 	// Announced is the address told to the system, if something forwards to Address.
@@ -217,7 +220,11 @@
 func (r *Runner) draw() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.cfg.ServiceTime(r.rng)
+	take := r.cfg.ServiceTime(r.rng)
+	if r.cfg.Slowdown == nil {
+		return take
+	}
+	return time.Duration(float64(take) * r.cfg.Slowdown())
 }
 
 // requestRecord is what a runner remembers of a request.
@@ -332,7 +339,7 @@
 	client := tbprotov1connect.NewBackendServiceClient(r.client, "http://"+entry)
 	answer, err := client.AnnounceRunner(ctx, connect.NewRequest(&pb.AnnounceRunnerRequest{
 		Id: r.cfg.ID, Incarnation: r.incarnation, Address: address, DataCentre: r.cfg.DataCentre,
-		Service: r.cfg.Service, Slots: uint32(r.cfg.Slots), Leaving: r.leavingAt.Load() > 0,
+		Service: r.cfg.Service, Slots: uint32(r.cfg.Slots), Worker: r.cfg.Worker, Leaving: r.leavingAt.Load() > 0,
 	}))
 	return err == nil && answer.Msg.GetReason() == ""
 }
--- a/io/tbstandin/worker.go
+++ b/io/tbstandin/worker.go
@@ -101,10 +101,13 @@
 // task is one running epoch of a job.
 type task struct {
 	order      *pb.TaskOrder
-	started    time.Time
 	leaseUntil time.Duration
-	// before is the run time that the checkpoint already holds.
-	before    time.Duration
+	// before is the run time that the checkpoint already holds, ran what was added since.
+	before time.Duration
+	ran    time.Duration
+	stepAt time.Time
+	// rate is the share of its processors that the task may use.
+	rate      float64
 	payload   JobPayload
 	resources tbresource.Amount
 	stopping  bool
@@ -220,14 +223,49 @@
 		return
 	default:
 		t.leaseUntil = max(t.leaseUntil, until)
+		t.work()
+		t.rate = rateOf(order)
 		if order.GetStop() && !t.stopping {
 			w.beginStop(t)
 		}
 	}
 }
 
+// rateOf returns the share of its processors that an order leaves to a task.
+func rateOf(order *pb.TaskOrder) float64 {
+	if order.GetThrottlePercent() == 0 {
+		return 1
+	}
+	return float64(order.GetThrottlePercent()) / 100
+}
+
+// work adds what a task did since the last look.
+func (t *task) work() {
+	now := time.Now()
+	t.ran += time.Duration(float64(now.Sub(t.stepAt)) * t.rate)
+	t.stepAt = now
+}
+
+// Load is what one task does to its neighbours.
+type Load struct {
+	Kind string
+	// Share is the part of the worker's processors that the task uses now.
+	Share float64
+}
+
+// Loads returns what the running tasks use, throttles included.
+func (w *Worker) Loads() []Load {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var all []Load
+	for _, t := range w.tasks {
+		all = append(all, Load{Kind: t.order.GetKind(), Share: t.rate * t.resources.Share(w.cfg.Capacity)})
+	}
+	return all
+}
+
 func (w *Worker) start(order *pb.TaskOrder, until time.Duration) {
-	t := &task{order: order, started: time.Now(), leaseUntil: until, resources: tbcodec.AmountFromWire(order.GetResources())}
+	t := &task{order: order, stepAt: time.Now(), rate: rateOf(order), leaseUntil: until, resources: tbcodec.AmountFromWire(order.GetResources())}
 	if err := json.Unmarshal(order.GetPayload(), &t.payload); err != nil {
 		w.end(order, &pb.TaskReport{Phase: "failed"})
 		return
@@ -258,7 +296,8 @@
 		if w.tasks[t.order.GetJob()] != t {
 			return
 		}
-		ran := time.Since(t.started)
+		t.work()
+		ran := t.ran
 		checkpoint := fmt.Sprintf("%s%d/%d", checkpointPrefix, (t.before + ran).Milliseconds(), t.order.GetEpoch())
 		w.remove(t, false)
 		w.end(t.order, &pb.TaskReport{Phase: "stopped", Checkpoint: checkpoint, RanMs: uint32(ran.Milliseconds())})
@@ -304,7 +343,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, t := range w.tasks {
-		ran := time.Since(t.started)
+		t.work()
+		ran := t.ran
 		done := t.before+ran >= time.Duration(t.payload.RunMs)*time.Millisecond
 		switch {
 		case w.clock() >= t.leaseUntil:
