--- a/core/tbplacement/planner.go
+++ b/core/tbplacement/planner.go
@@ -45,7 +45,7 @@
 // DefaultPolicy returns the policy of the daemon.
 func DefaultPolicy() Policy {
 	return Policy{
-		Learn: true, LearnNeighbours: true, SlowLimit: 1.2, CalmLimit: 1.1, MeasureLag: 3 * time.Second,
+		Learn: true, LearnNeighbours: true, SlowLimit: 1.12, CalmLimit: 1.06, MeasureLag: 3 * time.Second,
 		ShortBound:    30 * time.Second,
 		MinShortShare: 0.02, MaxShortShare: 0.15, ShortHeadroom: 1.3, ShareDecay: 2 * time.Second,
 		MaxScanned: 2000, MaxStarts: 64, EvictionsPerSecond: 20,
