Forget the timings of runners that are gone; drop a method nobody calls

The learner of neighbours kept a record for every runner ever seen, since its Forget had no caller, and Control.WaitReason stood beside the planner's Waiting, which the views use.

Change: the leader forgets a runner's timings when the runner is forgotten; Control.WaitReason is gone.

--- a/core/tbcontrol/control.go
+++ b/core/tbcontrol/control.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"tamarackbarrow/core/tbconsensus"
-	"tamarackbarrow/core/tbplacement"
 	"tamarackbarrow/core/tbstate"
 )
 
@@ -267,11 +266,3 @@
 	}
 	c.emit(answer)
 }
-
-// WaitReason returns why a queued job waits, as far as this leader knows.
-func (c *Control) WaitReason(job string) tbplacement.WaitReason {
-	if c.lead == nil {
-		return tbplacement.WaitNotYetPlanned
-	}
-	return c.lead.planner.Waiting(job)
-}
--- a/core/tbcontrol/leadership.go
+++ b/core/tbcontrol/leadership.go
@@ -108,6 +108,8 @@
 			delete(l.fencedAt, command.Worker.ID)
 		case tbstate.AnnounceRunner:
 			l.heardRunners[command.Runner.ID] = now
+		case tbstate.ForgetRunner:
+			l.planner.Neighbours().Forget(command.ID)
 		case tbstate.OpenSession:
 			l.leases.Grant(command.Session.Key, now)
 		case tbstate.CloseSession:
