Group lasting tasks by the filling work that harms them, and move them while it waits

Late jobs were taken oldest first, so that those nobody waits for any more went before those still of use, and under overload the order of deadlines made nearly all jobs late.

Change: a lasting task is placed beside images that suffer from the same filling work; while such work waits, pairs of lasting tasks change places, one task of a step at a time; filling jobs that would make others late are put behind (Moore-Hodgson), late ones of use go before too late ones; lasting tasks are expected to use 0.45 of what they reserve instead of 0.6.

--- a/core/tbassign/assign_test.go
+++ b/core/tbassign/assign_test.go
@@ -20,12 +20,13 @@
 	state *tbflow.State
 	fleet *tbfleet.Fleet
 	learn *Learner
+	group *Regrouper
 	seq   map[string]uint64
 }
 
 func newBench(t *testing.T, workers int) *bench {
 	b := &bench{
-		t: t, now: time.UnixMilli(1_700_000_000_000), state: tbflow.New(), learn: NewLearner(), seq: map[string]uint64{},
+		t: t, now: time.UnixMilli(1_700_000_000_000), state: tbflow.New(), learn: NewLearner(), group: NewRegrouper(), seq: map[string]uint64{},
 		fleet: tbfleet.New(tbfleet.Terms{
 			Lease: 4 * time.Second, LongestLease: 6 * time.Second, LongestDelay: 12 * time.Second, ClockRateBound: 0.02,
 			LookWait: time.Second, OrderTimeout: time.Second, HeartbeatSilence: time.Hour, RetryPause: time.Second,
@@ -53,7 +54,7 @@
 
 // plan commits one plan and returns it.
 func (b *bench) plan() []tbflow.Assignment {
-	runs := Plan(b.now, b.state, b.fleet, b.learn, 1000)
+	runs := Plan(b.now, b.state, b.fleet, b.learn, b.group, 1000)
 	c := tbflow.Assign{Runs: runs}
 	b.state.Apply(b.now.UnixMilli(), c)
 	b.fleet.Applied(b.now, b.state, c)
--- a/core/tbassign/harm.go
+++ b/core/tbassign/harm.go
@@ -124,6 +124,19 @@
 	return m
 }
 
+// knownSlope returns a slope that was learned well enough to be kept.
+func (l *Learner) knownSlope(lasting, filling string) (float64, bool) {
+	m := l.harm[lasting]
+	if m == nil {
+		return 0, false
+	}
+	i, ok := m.index[filling]
+	if !ok || m.cov[i][i] > knownVariance {
+		return 0, false
+	}
+	return min(0, m.mean[i]), true
+}
+
 // slope returns what a filling image is expected to do to a lasting image; it is never a help.
 func (l *Learner) slope(lasting, filling string) float64 {
 	m := l.harm[lasting]
--- a/core/tbassign/place.go
+++ b/core/tbassign/place.go
@@ -19,12 +19,10 @@
 	harmWeight = 0.5
 	// startMargin is the least expected margin with which a harmful image is started.
 	startMargin = 1.6
-	// sameImage draws lasting tasks of one image together, which leaves filling images more instances that they do not harm.
-	sameImage = 0.5
 )
 
 // lastingLoad is the share of its reserved processors that a lasting task is expected to use.
-const lastingLoad = 0.6
+const lastingLoad = 0.45
 
 // fillOvercommit bounds what filling tasks may ask for, as a share of the unused processors.
 const fillOvercommit = 1.0
@@ -40,7 +38,13 @@
 			break
 		}
 		t := w.job.Task(ref)
-		r := p.choose(w, t)
+		r, held := p.pinnedRoom(ref)
+		if held && r == nil {
+			continue
+		}
+		if r == nil {
+			r = p.choose(w, t)
+		}
 		if r == nil {
 			// The next task of the step needs the same and may only avoid another worker.
 			if t.LastFailedOn == "" {
@@ -54,6 +58,23 @@
 	return plan
 }
 
+// pinnedRoom returns the place held for a task that is being moved, or nil while another
+// task has yet to leave it, and whether there is one.
+func (p *pools) pinnedRoom(ref tbflow.TaskRef) (*room, bool) {
+	r := p.byWorker[p.regrouper.pinned(p.now, ref)]
+	if r == nil {
+		return nil, false
+	}
+	need := p.state.StepOf(ref).Need
+	// The place counts as taken by the task itself.
+	whole := r.free.Add(need)
+	if !need.Fits(whole) {
+		return nil, true
+	}
+	r.free = whole
+	return r, true
+}
+
 // placeGang assigns all tasks of a gang or none, under one run number.
 func (p *pools) placeGang(w waitingStep, limit int) []tbflow.Assignment {
 	tasks := w.job.Tasks[w.occurrence][w.index]
@@ -163,24 +184,11 @@
 	}
 	left := r.free.Sub(w.step.Need)
 	if w.step.Lasting {
-		score += groupScore(r, w.step.Image)
+		score -= companionWeight * p.companions.cost(w.step.Image, r.lasting)
 	}
 	return score - left.Share(r.worker.Capacity) - float64(r.worker.Failures)
 }
 
-// groupScore draws lasting tasks to instances that have their image only.
-func groupScore(r *room, image string) float64 {
-	switch {
-	case len(r.lasting) == 0:
-		return 0
-	case r.lasting[image] > 0 && len(r.lasting) == 1:
-		return sameImage
-	case r.lasting[image] > 0:
-		return 0
-	}
-	return -sameImage
-}
-
 // fillScore prefers unused processors, keeps filling images away from those that they
 // harm, and leaves instances to the images that can go nowhere else.
 func (p *pools) fillScore(r *room, w waitingStep) float64 {
--- a/core/tbassign/plan.go
+++ b/core/tbassign/plan.go
@@ -9,10 +9,10 @@
 )
 
 // Plan returns the runs that should start now.
-func Plan(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, limit int) []tbflow.Assignment {
-	pools := newPools(now, s, f, l)
+func Plan(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Regrouper, limit int) []tbflow.Assignment {
+	pools := newPools(now, s, f, l, g)
 	var plan []tbflow.Assignment
-	for _, step := range waiting(s, l) {
+	for _, step := range pools.waiting() {
 		if len(plan) >= limit {
 			break
 		}
@@ -23,9 +23,16 @@
 
 // pools are the usable workers of each class with what this plan has left of them.
 type pools struct {
-	state   *tbflow.State
-	learner *Learner
-	classes map[string][]*room
+	now       time.Time
+	state     *tbflow.State
+	learner   *Learner
+	regrouper *Regrouper
+	classes   map[string][]*room
+	byWorker  map[string]*room
+	// running sums what the filling tasks of each image ask for that run now, in thousandths of a processor.
+	running map[imageOf]int64
+	// companions compares the lasting images as this plan knows them.
+	companions *companions
 	// restricted holds the share of rooms that each filling image harms, once it was needed.
 	restricted map[string]float64
 }
@@ -50,8 +57,12 @@
 	step       int
 }
 
-func newPools(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner) *pools {
-	p := &pools{state: s, learner: l, classes: map[string][]*room{}}
+func newPools(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Regrouper) *pools {
+	p := &pools{
+		state: s, learner: l, regrouper: g, now: now, classes: map[string][]*room{}, byWorker: map[string]*room{},
+		running:    map[imageOf]int64{},
+		companions: newCompanions(l),
+	}
 	for _, w := range f.Workers() {
 		if !f.Usable(w, now) {
 			continue
@@ -59,12 +70,37 @@
 		use := s.Use(w.ID)
 		r := &room{worker: w, free: w.Capacity.Sub(use.Reserved), lasting: map[string]int{}, added: map[string]float64{}}
 		r.unused = w.Capacity.MilliProcessors - use.FillProcessors
-		s.EachRun(w.ID, func(ref tbflow.TaskRef, _ *tbflow.Task) { r.count(s, ref) })
+		s.EachRun(w.ID, func(ref tbflow.TaskRef, _ *tbflow.Task) {
+			r.count(s, ref)
+			if step := s.StepOf(ref); step != nil && step.Fills {
+				p.running[imageOf{w.Class, step.Image}] += step.Need.MilliProcessors
+			}
+		})
 		p.classes[w.Class] = append(p.classes[w.Class], r)
+		p.byWorker[w.ID] = r
 	}
+	p.holdPinned()
 	return p
 }
 
+// holdPinned keeps the places of tasks that are being moved from all others.
+func (p *pools) holdPinned() {
+	for ref := range p.regrouper.pins {
+		t := p.taskOf(ref)
+		r := p.byWorker[p.regrouper.pinned(p.now, ref)]
+		if r != nil && t != nil && (t.Phase == tbflow.TaskWaiting || t.Worker != r.worker.ID) {
+			r.free = r.free.Sub(p.state.StepOf(ref).Need)
+		}
+	}
+}
+
+func (p *pools) taskOf(ref tbflow.TaskRef) *tbflow.Task {
+	if j := p.state.Jobs[ref.Job]; j != nil && !j.Phase.Ended() {
+		return j.Task(ref)
+	}
+	return nil
+}
+
 // count takes one assigned task into the room's estimates.
 func (r *room) count(s *tbflow.State, ref tbflow.TaskRef) {
 	step := s.StepOf(ref)
--- a/core/tbassign/wait.go
+++ b/core/tbassign/wait.go
@@ -20,15 +20,38 @@
 	occurrence int
 	index      int
 	refs       []tbflow.TaskRef
-	// latestStartMs is when the step has to start for its job to be on time.
+	// latestStartMs is when the step has to start for its job to be on time, or, once that
+	// has passed, for its job to be of some use.
 	latestStartMs int64
-	late          bool
+	// endMs is when the job has to end to be on time.
+	endMs int64
+	hope  hope
+	// postponed is true when the job would make others late that can be on time.
+	postponed bool
+	// work is what the step and those behind it still have to do, in processor seconds.
+	work float64
 }
 
+// hope tells what can still become of a job.
+type hope uint8
+
+const (
+	// onTime means that the job can still meet its objective.
+	onTime hope = iota
+	// ofUse means that it can end within usefulFor times its objective.
+	ofUse
+	// tooLate means that nobody waits for it any more; it is finished all the same.
+	tooLate
+)
+
+// usefulFor is how many times its objective a result is of use; the users' contract values it at nothing beyond.
+const usefulFor = 3
+
 func (w *waitingStep) ref() stepRef { return stepRef{w.job.ID, w.occurrence, w.index} }
 
 // waiting returns all steps that may start, in the order in which they should.
-func waiting(s *tbflow.State, l *Learner) []waitingStep {
+func (p *pools) waiting() []waitingStep {
+	s, l := p.state, p.learner
 	var all []waitingStep
 	for _, j := range s.Active() {
 		for k := range j.Tasks {
@@ -38,6 +61,7 @@
 			all = append(all, waitingOf(s, l, j, k)...)
 		}
 	}
+	postpone(s.NowMs, all, p.capacity)
 	slices.SortStableFunc(all, compareWaiting)
 	return all
 }
@@ -54,11 +78,18 @@
 		if len(refs) == 0 || !j.StepReady(k, i) {
 			continue
 		}
-		w := waitingStep{job: j, step: &j.Steps[i], occurrence: k, index: i, refs: refs}
-		whole := chain(j, l, 0)
-		objective := j.DueMs(k) + int64(j.Slack*float64(whole.Milliseconds())) + j.Target.Milliseconds()
-		w.latestStartMs = objective - chain(j, l, i).Milliseconds()
-		w.late = !w.step.Lasting && w.latestStartMs < s.NowMs
+		w := waitingStep{job: j, step: &j.Steps[i], occurrence: k, index: i, refs: refs, work: workLeft(j, l, k)}
+		objective := int64(j.Slack*float64(chain(j, l, 0).Milliseconds())) + j.Target.Milliseconds()
+		rest := chain(j, l, i).Milliseconds()
+		w.endMs = j.DueMs(k) + objective
+		w.latestStartMs = w.endMs - rest
+		if late := w.latestStartMs < s.NowMs; late && !w.step.Lasting {
+			w.hope = ofUse
+			w.latestStartMs = j.DueMs(k) + usefulFor*objective - rest
+			if w.latestStartMs < s.NowMs {
+				w.hope = tooLate
+			}
+		}
 		all = append(all, w)
 	}
 	return all
@@ -81,10 +112,27 @@
 	return best
 }
 
+// workLeft returns the work of all tasks of an occurrence that wait, in processor seconds.
+func workLeft(j *tbflow.Job, l *Learner, k int) float64 {
+	sum := 0.0
+	for i := range j.Steps {
+		one := float64(j.Steps[i].Need.MilliProcessors) / 1000 * l.RunTime(j, &j.Steps[i]).Seconds()
+		for n := range j.Tasks[k][i] {
+			if j.Tasks[k][i][n].Phase == tbflow.TaskWaiting {
+				sum += one
+			}
+		}
+	}
+	return sum
+}
+
 func compareWaiting(a, b waitingStep) int {
 	if c := cmp.Compare(class(a), class(b)); c != 0 {
 		return c
 	}
+	if a.postponed && b.postponed {
+		return cmp.Compare(a.work, b.work)
+	}
 	return cmp.Compare(a.latestStartMs, b.latestStartMs)
 }
 
@@ -94,12 +142,16 @@
 // A short job is over in a second and frees what it used; a lasting task that starts a
 // second later loses a second of its minutes.
 func class(w waitingStep) int {
-	c := 3 * w.job.Priority
+	c := 5 * w.job.Priority
 	switch {
 	case w.step.Lasting:
 		c++
-	case w.late:
+	case w.postponed:
 		c += 2
+	case w.hope == ofUse:
+		c += 3
+	case w.hope == tooLate:
+		c += 4
 	}
 	return c
 }
--- a/core/tbcontrol/flow.go
+++ b/core/tbcontrol/flow.go
@@ -14,6 +14,7 @@
 type flowLead struct {
 	fleet   *tbfleet.Fleet
 	learner *tbassign.Learner
+	regroup *tbassign.Regrouper
 	group   groupKeeper
 	// submitting holds the jobs whose acceptance is proposed: they may run and are not turned away.
 	submitting map[string]bool
@@ -44,6 +45,7 @@
 	l := &flowLead{
 		fleet:      tbfleet.New(c.cfg.Fleet, c.replica.Term()),
 		learner:    tbassign.NewLearner(),
+		regroup:    tbassign.NewRegrouper(),
 		group:      newGroupKeeper(c.cfg.GroupSize),
 		submitting: map[string]bool{},
 		stale:      true,
@@ -248,6 +250,7 @@
 		l.nextTick = now.Add(flowTickInterval)
 		l.fleet.Tick(now)
 		l.evacuate(c, now)
+		l.moveLasting(c, now)
 		l.group.keep(c, now)
 		l.recordSlopes(c, now)
 		l.stale = true
@@ -279,6 +282,16 @@
 	}
 }
 
+// moveLasting stops the lasting tasks that should change places; the next plans start them there.
+func (l *flowLead) moveLasting(c *Control, now time.Time) {
+	for _, m := range l.regroup.Moves(now, c.state.Flow, l.fleet, l.learner) {
+		c.emit(Log{Message: "lasting task moves", Args: []any{
+			"job", m.Ref.Job, "task", m.Ref.String(), "worker", m.From, "to", m.To, "gain", m.Gain, "index", c.state.Applied,
+		}})
+		l.fleet.Stop(now, m.From, m.Ref)
+	}
+}
+
 // planFlow proposes the runs that should start now; one plan is under way at most.
 func (c *Control) planFlow(now time.Time) {
 	if c.lead == nil || !c.Leads(now) {
@@ -290,7 +303,7 @@
 	}
 	l.stale = false
 	l.planAt = now.Add(planPause)
-	if runs := tbassign.Plan(now, c.state.Flow, l.fleet, l.learner, maxAssignments); len(runs) > 0 {
+	if runs := tbassign.Plan(now, c.state.Flow, l.fleet, l.learner, l.regroup, maxAssignments); len(runs) > 0 {
 		l.assigning = true
 		l.planAt = time.Time{}
 		c.proposeFlow(tbflow.Assign{Runs: runs})
