Weigh filling work against lasting tasks when setting paces; keep the spread limit of a moving task

(3) Slopes drifted while paces were set, as these follow the tails.

Change: a held place counts as taken in every respect and is checked again when used. Each look sets the paces with the best balance of filling work against the risk of tails over their targets; harm that no slope explains counts too; a filling task is slowed as soon as it has started. Looks after a change of pace teach nothing.

The spread limit has a test that failed first.

--- a/core/tbassign/assign_test.go
+++ b/core/tbassign/assign_test.go
@@ -73,6 +73,17 @@
 	return w
 }
 
+// lastingImages counts the lasting tasks of a worker by image.
+func lastingImages(s *tbflow.State, w *tbfleet.Worker) map[string]int {
+	images := map[string]int{}
+	w.EachRun(func(ref tbflow.TaskRef, _ *tbfleet.Run) {
+		if step := s.StepOf(ref); step != nil && step.Lasting {
+			images[step.Image]++
+		}
+	})
+	return images
+}
+
 func need(processors float64) tbresource.Amount {
 	return tbresource.Amount{MilliProcessors: int64(processors * 1000), MemoryMB: 1000}
 }
--- a/core/tbassign/harm.go
+++ b/core/tbassign/harm.go
@@ -156,14 +156,15 @@
 	at      time.Time
 	uses    map[string]float64
 	margins map[tbflow.TaskRef]float64
-	// clean are the margins, by lasting image, without what the model puts on filling tasks.
-	clean map[string]float64
+	// clean are the margins without what the model puts on filling tasks.
+	clean map[tbflow.TaskRef]float64
 }
 
 // Observe learns from a worker's newest readings.
 func (l *Learner) Observe(now time.Time, s *tbflow.State, w *tbfleet.Worker) {
 	look := lookAt{
-		born: w.Born, at: now, uses: map[string]float64{}, margins: map[tbflow.TaskRef]float64{}, clean: map[string]float64{},
+		born: w.Born, at: now, uses: map[string]float64{}, margins: map[tbflow.TaskRef]float64{},
+		clean: map[tbflow.TaskRef]float64{},
 	}
 	w.EachRun(func(ref tbflow.TaskRef, r *tbfleet.Run) {
 		if step := s.StepOf(ref); step != nil && step.Fills && r.Phase == tbfleet.RunGoingOn {
@@ -175,7 +176,9 @@
 	if ok && before.born == w.Born && apart < shortestLook {
 		return
 	}
-	comparable := ok && before.born == w.Born && apart < longestLook
+	// Paces follow the tails: a change of pace would be taken for the cause of what it answers.
+	comparable := ok && before.born == w.Born && apart < longestLook && !l.paced[w.ID]
+	delete(l.paced, w.ID)
 	w.EachRun(func(ref tbflow.TaskRef, r *tbfleet.Run) {
 		step := s.StepOf(ref)
 		if step == nil || !servesUsers(step, r) {
@@ -187,9 +190,7 @@
 		for image, use := range look.uses {
 			clean -= l.slope(step.Image, image) * use
 		}
-		if known, ok := look.clean[step.Image]; !ok || clean < known {
-			look.clean[step.Image] = clean
-		}
+		look.clean[ref] = clean
 		if earlier, ok := before.margins[ref]; ok && comparable {
 			l.learnChange(step.Image, before.uses, look.uses, margin-earlier)
 		}
@@ -224,31 +225,6 @@
 	return float64(milliProcessors) / float64(max(1, w.Capacity.MilliProcessors))
 }
 
-// Margin returns the least margin that is expected of the lasting images of a worker
-// beside a new filling task and those added, by image, since the last look.
-func (l *Learner) Margin(w *tbfleet.Worker, lasting map[string]int, step *tbflow.Step, added map[string]float64) float64 {
-	least := highestMargin
-	look, ok := l.looks[w.ID]
-	if !ok || look.born != w.Born {
-		look = lookAt{}
-	}
-	for image := range lasting {
-		margin, ok := look.clean[image]
-		if !ok {
-			margin = usualMargin
-		}
-		margin += l.slope(image, step.Image) * share(step.Need.MilliProcessors, w)
-		for filling, use := range look.uses {
-			margin += l.slope(image, filling) * use
-		}
-		for filling, use := range added {
-			margin += l.slope(image, filling) * use
-		}
-		least = min(least, margin)
-	}
-	return least
-}
-
 // fillingImages returns all filling images that were seen beside a lasting one.
 func (l *Learner) fillingImages() []string {
 	seen := map[string]bool{}
--- a/core/tbassign/learn.go
+++ b/core/tbassign/learn.go
@@ -16,13 +16,15 @@
 	harm      map[string]*slopes
 	looks     map[string]lookAt
 	overSince map[string]time.Time
+	// paced holds the workers whose paces changed since the last look that was learned from.
+	paced map[string]bool
 }
 
 // NewLearner returns a learner that trusts all estimates.
 func NewLearner() *Learner {
 	return &Learner{
 		ratios: map[tbflow.QueueKey]float64{}, harm: map[string]*slopes{},
-		looks: map[string]lookAt{}, overSince: map[string]time.Time{},
+		looks: map[string]lookAt{}, overSince: map[string]time.Time{}, paced: map[string]bool{},
 	}
 }
 
--- a/core/tbassign/pace.go
+++ b/core/tbassign/pace.go
@@ -8,16 +8,13 @@
 )
 
 // Load pattern: the load of a lasting task rises within seconds while filling tasks
-// work beside it. Each look gives the filling tasks that harm it the largest common
-// share of their speed that keeps the expected margin above a bound; the others keep
-// their full speed. When a tail stays over its target nevertheless, all of them stand
-// still until it is below.
+// work beside it. Each look sets the paces of the filling images that are worth most,
+// the lasting tasks over their targets counted against them. When a tail stays over its
+// target nevertheless, all filling tasks stand still until it is below.
 
 // Bounds of the pace of filling tasks.
 const (
-	// paceMargin is the margin that pacing keeps: a tail of three quarters of its target.
-	paceMargin = 1.35
-	// harmlessSlope is the slope above which a pair of images is left alone.
+	// harmlessSlope is the slope above which a filling image suits a lasting one.
 	harmlessSlope = -1.2
 	// hasteStep is the most that a pace rises between two looks, in percent.
 	hasteStep = 30
@@ -35,11 +32,12 @@
 
 // Paces returns the changes of pace that a worker's newest readings ask for.
 func (l *Learner) Paces(now time.Time, s *tbflow.State, w *tbfleet.Worker) []PaceChange {
-	lasting := lastingImages(s, w)
 	stop := l.overLong(now, s, w)
-	wanted := tbfleet.FullPace
-	if len(lasting) > 0 {
-		wanted = l.sharedPace(s, w, lasting)
+	b := l.bargainAt(s, w)
+	b.settle()
+	paces := map[string]int{}
+	for _, f := range b.fills {
+		paces[f.image] = int(f.pace * tbfleet.FullPace)
 	}
 	var changes []PaceChange
 	w.EachRun(func(ref tbflow.TaskRef, r *tbfleet.Run) {
@@ -47,67 +45,18 @@
 		if step == nil || !step.Fills || r.Phase != tbfleet.RunGoingOn {
 			return
 		}
-		next := tbfleet.FullPace
-		switch {
-		case stop:
-			next = 0
-		case l.worstSlope(lasting, step.Image) < harmlessSlope:
-			next = wanted
-		}
-		next = min(next, r.Pace+hasteStep)
-		if next < lowestPace {
+		next := min(paces[step.Image], r.Pace+hasteStep)
+		if stop || next < lowestPace {
 			next = 0
 		}
 		if next != r.Pace {
 			changes = append(changes, PaceChange{Ref: ref, Percent: next})
 		}
 	})
-	return changes
-}
-
-// lastingImages counts the lasting tasks of a worker by image.
-func lastingImages(s *tbflow.State, w *tbfleet.Worker) map[string]int {
-	images := map[string]int{}
-	w.EachRun(func(ref tbflow.TaskRef, r *tbfleet.Run) {
-		if step := s.StepOf(ref); step != nil && step.Lasting && step.TailTarget > 0 {
-			images[step.Image]++
-		}
-	})
-	return images
-}
-
-// sharedPace returns the largest common pace of harmful images that keeps all margins.
-func (l *Learner) sharedPace(s *tbflow.State, w *tbfleet.Worker, lasting map[string]int) int {
-	look, ok := l.looks[w.ID]
-	if !ok || look.born != w.Born {
-		return tbfleet.FullPace
-	}
-	demand := map[string]float64{}
-	w.EachRun(func(ref tbflow.TaskRef, r *tbfleet.Run) {
-		if step := s.StepOf(ref); step != nil && step.Fills && r.Phase == tbfleet.RunGoingOn {
-			demand[step.Image] += share(step.Need.MilliProcessors, w)
-		}
-	})
-	pace := 1.0
-	for image := range lasting {
-		margin, ok := look.clean[image]
-		if !ok {
-			continue
-		}
-		harm := 0.0
-		for filling, use := range demand {
-			slope := l.slope(image, filling)
-			if l.worstSlope(lasting, filling) < harmlessSlope {
-				harm -= slope * use
-			} else {
-				margin += slope * use
-			}
-		}
-		if harm > 0 {
-			pace = min(pace, (margin-paceMargin)/harm)
-		}
+	if len(changes) > 0 {
+		l.paced[w.ID] = true
 	}
-	return int(max(0, pace) * tbfleet.FullPace)
+	return changes
 }
 
 // overLong reports whether a tail on the worker is over its target for too long.
--- a/core/tbassign/place.go
+++ b/core/tbassign/place.go
@@ -17,8 +17,6 @@
 	scarceWeight = 1.0
 	// harmWeight is the score lost for each unit of slope on the lasting images of an instance.
 	harmWeight = 0.5
-	// startMargin is the least expected margin with which a harmful image is started.
-	startMargin = 1.6
 )
 
 // lastingLoad is the share of its reserved processors that a lasting task is expected to use.
@@ -38,7 +36,7 @@
 			break
 		}
 		t := w.job.Task(ref)
-		r, held := p.pinnedRoom(ref)
+		r, held := p.pinnedRoom(w, ref, t)
 		if held && r == nil {
 			continue
 		}
@@ -60,18 +58,19 @@
 
 // pinnedRoom returns the place held for a task that is being moved, or nil while another
 // task has yet to leave it, and whether there is one.
-func (p *pools) pinnedRoom(ref tbflow.TaskRef) (*room, bool) {
+func (p *pools) pinnedRoom(w waitingStep, ref tbflow.TaskRef, t *tbflow.Task) (*room, bool) {
 	r := p.byWorker[p.regrouper.pinned(p.now, ref)]
 	if r == nil {
 		return nil, false
 	}
-	need := p.state.StepOf(ref).Need
-	// The place counts as taken by the task itself.
-	whole := r.free.Add(need)
-	if !need.Fits(whole) {
+	r.hold(p.state, ref, -1)
+	switch {
+	case !w.step.Need.Fits(r.free):
+		r.hold(p.state, ref, 1)
 		return nil, true
+	case !p.allowed(r, w, t, len(p.classes[w.job.WorkerClass])):
+		return nil, false
 	}
-	r.free = whole
 	return r, true
 }
 
@@ -140,8 +139,7 @@
 		if int64(float64(w.step.Need.MilliProcessors)*fillOvercommit) > r.unused {
 			return false
 		}
-		if p.learner.worstSlope(r.lasting, w.step.Image) < harmlessSlope &&
-			p.learner.Margin(r.worker, r.lasting, w.step, r.added) < startMargin {
+		if !p.bears(r, w.step) {
 			return false
 		}
 	}
@@ -236,7 +234,9 @@
 	switch {
 	case w.step.Fills:
 		r.unused -= sign * need.MilliProcessors
-		r.added[w.step.Image] += float64(sign) * share(w.step.Need.MilliProcessors, r.worker)
+		if r.bargain != nil && sign > 0 {
+			r.bargain.add(w.step, r.worker, 1)
+		}
 		need.MilliProcessors = 0
 	case w.step.Lasting:
 		r.lasting[w.step.Image] += int(sign)
--- a/core/tbassign/plan.go
+++ b/core/tbassign/plan.go
@@ -45,8 +45,8 @@
 	unused int64
 	// lasting counts the lasting tasks by image.
 	lasting map[string]int
-	// added is what filling tasks ask for that the last look does not show, by image, as shares of the instance.
-	added map[string]float64
+	// bargain weighs more filling tasks against the lasting ones, once it was needed.
+	bargain *bargain
 	// tasks counts the tasks of steps with a spread limit.
 	tasks map[stepRef]int
 }
@@ -68,7 +68,7 @@
 			continue
 		}
 		use := s.Use(w.ID)
-		r := &room{worker: w, free: w.Capacity.Sub(use.Reserved), lasting: map[string]int{}, added: map[string]float64{}}
+		r := &room{worker: w, free: w.Capacity.Sub(use.Reserved), lasting: map[string]int{}}
 		r.unused = w.Capacity.MilliProcessors - use.FillProcessors
 		s.EachRun(w.ID, func(ref tbflow.TaskRef, _ *tbflow.Task) {
 			r.count(s, ref)
@@ -89,11 +89,24 @@
 		t := p.taskOf(ref)
 		r := p.byWorker[p.regrouper.pinned(p.now, ref)]
 		if r != nil && t != nil && (t.Phase == tbflow.TaskWaiting || t.Worker != r.worker.ID) {
-			r.free = r.free.Sub(p.state.StepOf(ref).Need)
+			r.hold(p.state, ref, 1)
 		}
 	}
 }
 
+// hold counts a task that is to come as if it was there already, or with sign -1 takes that back.
+func (r *room) hold(s *tbflow.State, ref tbflow.TaskRef, sign int) {
+	step := s.StepOf(ref)
+	if sign > 0 {
+		r.free = r.free.Sub(step.Need)
+	} else {
+		r.free = r.free.Add(step.Need)
+	}
+	if step.SpreadLimit > 0 {
+		r.spread(refOfStep(ref), sign)
+	}
+}
+
 func (p *pools) taskOf(ref tbflow.TaskRef) *tbflow.Task {
 	if j := p.state.Jobs[ref.Job]; j != nil && !j.Phase.Ended() {
 		return j.Task(ref)
@@ -112,10 +125,6 @@
 		r.unused -= int64(float64(step.Need.MilliProcessors) * lastingLoad)
 	case !step.Fills:
 		r.unused -= step.Need.MilliProcessors
-	default:
-		if run := r.worker.Run(ref); run == nil || run.Reading == 0 {
-			r.added[step.Image] += share(step.Need.MilliProcessors, r.worker)
-		}
 	}
 	if step.SpreadLimit > 0 {
 		r.spread(stepRef{ref.Job, ref.Occurrence, ref.Step}, 1)
--- a/core/tbassign/regroup_test.go
+++ b/core/tbassign/regroup_test.go
@@ -126,3 +126,39 @@
 		qt.Check(t, b.state.Jobs[m.Ref.Job].Task(m.Ref).Worker, qt.Equals, m.To)
 	}
 }
+
+// While a task of a spread step moves, another task of the step fails and waits as well.
+// It may not take the moving task's place beside it (found by a hunt: kollaalert
+// hunt-8551-19 started a second task of a step where one was allowed).
+func TestMovingTaskKeepsItsSpreadLimit(t *testing.T) {
+	for _, failedFirst := range []bool{true, false} {
+		b := newBench(t, 3)
+		s := watcher(3, "soft")
+		s.SpreadLimit = 1
+		b.submit("watch", "spread", s)
+		b.plan()
+		tasks := b.state.Jobs["spread"].Tasks[0][0]
+		moving, failing := tbflow.TaskRef{Job: "spread", Index: 2}, tbflow.TaskRef{Job: "spread", Index: 1}
+		if failedFirst {
+			moving, failing = failing, moving
+		}
+		// The moving task's new place is that of the failed one.
+		to := tasks[failing.Index].Worker
+		b.group.pins[moving] = pin{worker: to, until: b.now.Add(time.Second)}
+		for _, ref := range []tbflow.TaskRef{failing, moving} {
+			c := tbflow.NoteEnds{Worker: tasks[ref.Index].Worker, Born: 1, Ends: []tbflow.End{{Ref: ref, Run: 1, Kind: tbflow.EndStopped}}}
+			b.state.Apply(b.now.UnixMilli(), c)
+			b.fleet.Applied(b.now, b.state, c)
+			b.plan()
+		}
+		perWorker := map[string]int{}
+		for i := range tasks {
+			if tasks[i].Phase == tbflow.TaskAssigned {
+				perWorker[tasks[i].Worker]++
+			}
+		}
+		for worker, n := range perWorker {
+			qt.Check(t, n, qt.Equals, 1, qt.Commentf("%s", worker))
+		}
+	}
+}
--- a/core/tbcontrol/control.go
+++ b/core/tbcontrol/control.go
@@ -132,6 +132,7 @@
 	switch ev := ev.(type) {
 	case StartAnswered:
 		c.lead.flow.fleet.StartAnswered(now, ev.Answer)
+		c.lead.flow.paceStarted(c, now, ev.Answer)
 	case StopAnswered:
 		c.lead.flow.fleet.StopAnswered(now, ev.Answer)
 	case LookAnswered:
--- a/core/tbcontrol/flow.go
+++ b/core/tbcontrol/flow.go
@@ -337,12 +337,27 @@
 	l.fleet.LookAnswered(now, a)
 	if w := l.fleet.Worker(a.Worker); w != nil && a.Verdict == tbfleet.Accepted {
 		l.learner.Observe(now, c.state.Flow, w)
-		for _, p := range l.learner.Paces(now, c.state.Flow, w) {
-			l.fleet.SetPace(w.ID, p.Ref, p.Percent)
-		}
+		l.setPaces(c, now, w)
 		for _, ref := range l.learner.Stalled(now, c.state.Flow, w) {
 			l.fleet.GiveUp(now, w.ID, ref)
 		}
 	}
 	l.stale = true
 }
+
+func (l *flowLead) setPaces(c *Control, now time.Time, w *tbfleet.Worker) {
+	for _, p := range l.learner.Paces(now, c.state.Flow, w) {
+		l.fleet.SetPace(w.ID, p.Ref, p.Percent)
+	}
+}
+
+// paceStarted slows a filling task that has just started where lasting tasks cannot bear
+// it; until the next look it would work at full speed.
+func (l *flowLead) paceStarted(c *Control, now time.Time, a tbfleet.StartAnswered) {
+	if step := c.state.Flow.StepOf(a.Ref); step == nil || !step.Fills {
+		return
+	}
+	if w := l.fleet.Worker(a.Worker); w != nil {
+		l.setPaces(c, now, w)
+	}
+}
