--- a/core/tbflow/job.go
+++ b/core/tbflow/job.go
@@ -95,7 +95,8 @@
 	Born       int64
 	Failures   int
 	Checkpoint string
-	// AssignedMs and WaitingMs are the state's times of the last changes of phase.
+	// AssignedMs is the time of the last assignment, and WaitingMs since when the task could
+	// have started; both are times of the state.
 	AssignedMs int64
 	WaitingMs  int64
 	// LastFailedOn is the worker of the last failed run, which a retry avoids.
--- a/core/tbflow/state.go
+++ b/core/tbflow/state.go
@@ -361,6 +361,7 @@
 		if step.Gang {
 			s.endGang(j, e)
 		}
+		s.readyNext(j, e.Ref)
 		s.completeIfDone(j)
 	case e.Kind == EndFailed && !step.Lasting:
 		t.Failures++
@@ -373,6 +374,21 @@
 	}
 }
 
+// readyNext starts the waiting time of the steps that could start once this one is done.
+func (s *State) readyNext(j *Job, ref TaskRef) {
+	if !j.StepDone(ref.Occurrence, ref.Step) {
+		return
+	}
+	for i := range j.Steps {
+		if !slices.Contains(j.Steps[i].DependsOn, ref.Step) || !j.StepReady(ref.Occurrence, i) {
+			continue
+		}
+		for n := range j.Tasks[ref.Occurrence][i] {
+			j.Tasks[ref.Occurrence][i][n].WaitingMs = s.NowMs
+		}
+	}
+}
+
 // endGang marks all tasks of a gang done; one such end stands for all of them.
 func (s *State) endGang(j *Job, e End) {
 	tasks := j.Tasks[e.Ref.Occurrence][e.Ref.Step]
--- a/core/tbflow/state_test.go
+++ b/core/tbflow/state_test.go
@@ -219,3 +219,19 @@
 	f.assign(ref("a", 0, 0), 1, "w")
 	qt.Check(t, f.Pending(queueKey), qt.Equals, 1)
 }
+
+// A task of a later step waits from the moment at which it could start, not from the
+// submission of its job: otherwise the log shows the run time of the first step as a wait.
+func TestLaterStepsWaitFromWhenTheyCouldStart(t *testing.T) {
+	f := newFixture(t)
+	j := f.submit("j", step(1), step(1), step(1, 0, 1), step(1))
+	submitted := j.SubmittedMs
+	for i := range 2 {
+		f.assign(ref("j", i, 0), 1, "w")
+	}
+	f.end(ref("j", 0, 0), 1, "w", tbflow.EndDone, "")
+	qt.Check(t, j.Tasks[0][2][0].WaitingMs, qt.Equals, submitted)
+	f.end(ref("j", 1, 0), 1, "w", tbflow.EndDone, "")
+	qt.Check(t, j.Tasks[0][2][0].WaitingMs, qt.Equals, f.NowMs)
+	qt.Check(t, j.Tasks[0][3][0].WaitingMs, qt.Equals, submitted)
+}
