Name contention, colocation and rebalancing by the usual terms; forget readings of workers that are gone

Change: the learner forgets a worker with its record, with a test; paces are weighed in order of the images; one constructor for the two views of a worker's tasks.

--- a/core/tbassign/assign_test.go
+++ b/core/tbassign/assign_test.go
@@ -20,13 +20,13 @@
 	state *tbflow.State
 	fleet *tbfleet.Fleet
 	learn *Learner
-	group *Regrouper
+	group *Rebalancer
 	seq   map[string]uint64
 }
 
 func newBench(t *testing.T, workers int) *bench {
 	b := &bench{
-		t: t, now: time.UnixMilli(1_700_000_000_000), state: tbflow.New(), learn: NewLearner(), group: NewRegrouper(), seq: map[string]uint64{},
+		t: t, now: time.UnixMilli(1_700_000_000_000), state: tbflow.New(), learn: NewLearner(), group: NewRebalancer(), seq: map[string]uint64{},
 		fleet: tbfleet.New(tbfleet.Terms{
 			Lease: 4 * time.Second, LongestLease: 6 * time.Second, LongestDelay: 12 * time.Second, ClockRateBound: 0.02,
 			LookWait: time.Second, OrderTimeout: time.Second, HeartbeatSilence: time.Hour, RetryPause: time.Second,
@@ -378,3 +378,15 @@
 	ok, after := Admit(b.state, b.fleet, b.learn, q, &tbflow.Job{Steps: []tbflow.Step{filler(1, "x")}})
 	qt.Check(t, ok, qt.IsTrue, qt.Commentf("turned away for %s", after))
 }
+
+// Workers come and go for months; what was read at those that are gone is not kept.
+func TestForgetsReadingsOfWorkersThatAreGone(t *testing.T) {
+	b := newBench(t, 1)
+	b.submit("watch", "w", watcher(1, "a"))
+	b.plan()
+	b.look("w00", func(*tbflow.Step, *tbfleet.Run) int64 { return 70 })
+	b.learn.Paces(b.now, b.state, b.fleet.Worker("w00"))
+	qt.Check(t, len(b.learn.looks)+len(b.learn.overSince), qt.Equals, 2)
+	b.learn.Forget("w00")
+	qt.Check(t, len(b.learn.looks)+len(b.learn.overSince), qt.Equals, 0)
+}
--- a/core/tbassign/companions.go
+++ b/core/tbassign/colocation.go
@@ -10,8 +10,8 @@
 
 // Weights of an instance's lasting images in the choice for another lasting task.
 const (
-	// companionWeight outweighs the tightest packing, which is worth 1 at most.
-	companionWeight = 4.0
+	// colocationWeight outweighs the tightest packing, which is worth 1 at most.
+	colocationWeight = 4.0
 	// wastedShare is what a tough task in a sensitive place costs, against the reverse: it
 	// only uses room that the next sensitive task will look for.
 	wastedShare = 0.5
@@ -24,21 +24,21 @@
 )
 
 // severities holds how much each filling image harms lasting images, from 0 to 1, and
-// NaN where that was not learned yet; the order is that of companions.filling.
+// NaN where that was not learned yet; the order is that of colocation.filling.
 type severities []float64
 
-// companions compares lasting images by the filling images that they suffer from.
-type companions struct {
+// colocation compares lasting images by the filling images that they suffer from.
+type colocation struct {
 	learner *Learner
 	filling []string
 	images  map[string]severities
 }
 
-func newCompanions(l *Learner) *companions {
-	return &companions{learner: l, filling: l.fillingImages(), images: map[string]severities{}}
+func newColocation(l *Learner) *colocation {
+	return &colocation{learner: l, filling: l.fillingImages(), images: map[string]severities{}}
 }
 
-func (c *companions) of(image string) severities {
+func (c *colocation) of(image string) severities {
 	if known, ok := c.images[image]; ok {
 		return known
 	}
@@ -56,7 +56,7 @@
 }
 
 // cost returns what it costs filling work, from 0 to 1, to put a lasting image beside others.
-func (c *companions) cost(image string, beside map[string]int) float64 {
+func (c *colocation) cost(image string, beside map[string]int) float64 {
 	if len(beside) == 0 || beside[image] > 0 && len(beside) == 1 {
 		return 0
 	}
--- a/core/tbassign/bargain.go
+++ b/core/tbassign/contention.go
@@ -1,7 +1,9 @@
 package tbassign
 
 import (
+	"cmp"
 	"math"
+	"slices"
 
 	"tamarackbarrow/core/tbfleet"
 	"tamarackbarrow/core/tbflow"
@@ -32,8 +34,8 @@
 // risk returns how likely a tail is over its target soon, from its expected margin.
 func risk(margin float64) float64 { return 1 / (1 + math.Exp((margin-safeMargin)/soonSpread)) }
 
-// bargain is the filling and the lasting tasks of one worker.
-type bargain struct {
+// contention is the filling and the lasting tasks of one worker.
+type contention struct {
 	learner *Learner
 	tasks   []lastingTail
 	fills   []fillingShare
@@ -58,22 +60,28 @@
 	pace       float64
 }
 
-func (b *bargain) margin(t lastingTail) float64 {
+// slope returns what a filling image is expected to do to a lasting task.
+func (c *contention) slope(t lastingTail, filling string) float64 {
+	return c.learner.slope(t.image, filling) - t.unexplained
+}
+
+// margin returns what is left of a lasting task's margin beside the filling tasks.
+func (c *contention) margin(t lastingTail) float64 {
 	margin := t.clean
-	for _, f := range b.fills {
-		margin += (b.learner.slope(t.image, f.image) - t.unexplained) * f.share * f.pace
+	for _, f := range c.fills {
+		margin += c.slope(t, f.image) * f.share * f.pace
 	}
 	return margin
 }
 
 // balance is the filling work done less what the lasting tasks lose by it, in processors.
-func (b *bargain) balance() float64 {
+func (c *contention) benefit() float64 {
 	sum := 0.0
-	for _, f := range b.fills {
+	for _, f := range c.fills {
 		sum += f.processors * f.pace
 	}
-	for _, t := range b.tasks {
-		sum -= overCost * risk(b.margin(t))
+	for _, t := range c.tasks {
+		sum -= overCost * risk(c.margin(t))
 	}
 	return sum
 }
@@ -82,44 +90,47 @@
 var paceLevels = [...]float64{0, 0.15, 0.3, 0.5, 0.75, 1}
 
 // settle sets the paces with the best balance, one image after the other.
-func (b *bargain) settle() {
-	for i := range b.fills {
-		b.fills[i].pace = 1
+func (c *contention) optimize() {
+	for i := range c.fills {
+		c.fills[i].pace = 1
 	}
 	const rounds = 2
 	for range rounds {
-		for i := range b.fills {
+		for i := range c.fills {
 			best, bestPace := math.Inf(-1), 1.0
 			for _, pace := range paceLevels {
-				b.fills[i].pace = pace
-				if sum := b.balance(); sum >= best {
+				c.fills[i].pace = pace
+				if sum := c.benefit(); sum >= best {
 					best, bestPace = sum, pace
 				}
 			}
-			b.fills[i].pace = bestPace
+			c.fills[i].pace = bestPace
 		}
 	}
 }
 
-// bargainAt returns the tasks of a worker as the last look at it showed them.
-func (l *Learner) bargainAt(s *tbflow.State, w *tbfleet.Worker) *bargain {
-	b := &bargain{learner: l, tasks: l.tails(s, w)}
-	at := map[string]int{}
+// contentionOf returns the tasks of a worker at full pace, as far as counts accepts the
+// filling ones; margins are those of the last look.
+func (l *Learner) contentionOf(s *tbflow.State, w *tbfleet.Worker, counts func(*tbfleet.Run) bool) *contention {
+	c := &contention{learner: l, tasks: l.tails(s, w)}
 	w.EachRun(func(ref tbflow.TaskRef, r *tbfleet.Run) {
-		step := s.StepOf(ref)
-		if step == nil || !step.Fills || r.Phase != tbfleet.RunGoingOn {
-			return
+		if step := s.StepOf(ref); step != nil && step.Fills && counts(r) {
+			c.add(step, w)
 		}
-		i, ok := at[step.Image]
-		if !ok {
-			i = len(b.fills)
-			at[step.Image] = i
-			b.fills = append(b.fills, fillingShare{image: step.Image})
-		}
-		b.fills[i].share += share(step.Need.MilliProcessors, w)
-		b.fills[i].processors += float64(step.Need.MilliProcessors) / 1000
 	})
-	return b
+	slices.SortFunc(c.fills, func(a, b fillingShare) int { return cmp.Compare(a.image, b.image) })
+	return c
+}
+
+// add counts one more filling task.
+func (c *contention) add(step *tbflow.Step, w *tbfleet.Worker) {
+	i := slices.IndexFunc(c.fills, func(f fillingShare) bool { return f.image == step.Image })
+	if i < 0 {
+		i = len(c.fills)
+		c.fills = append(c.fills, fillingShare{image: step.Image, pace: 1})
+	}
+	c.fills[i].share += share(step.Need.MilliProcessors, w)
+	c.fills[i].processors += float64(step.Need.MilliProcessors) / 1000
 }
 
 // tails returns the lasting tasks of a worker with their margins.
@@ -152,34 +163,14 @@
 	if p.learner.worstSlope(r.lasting, step.Image) > harmlessSlope {
 		return true
 	}
-	if r.bargain == nil {
-		r.bargain = p.bargainOf(r)
+	if r.contention == nil {
+		r.contention = p.learner.contentionOf(p.state, r.worker, func(run *tbfleet.Run) bool { return run.Phase != tbfleet.RunEnding })
 	}
-	b := r.bargain
-	b.add(step, r.worker, 1)
-	defer func() { b.fills = b.fills[:len(b.fills)-1] }()
-	for _, t := range b.tasks {
-		if b.margin(t) < startMargin {
+	more := share(step.Need.MilliProcessors, r.worker)
+	for _, t := range r.contention.tasks {
+		if r.contention.margin(t)+r.contention.slope(t, step.Image)*more < startMargin {
 			return false
 		}
 	}
 	return true
 }
-
-// bargainOf returns the tasks of a room at full pace, with those that the last look does not show.
-func (p *pools) bargainOf(r *room) *bargain {
-	b := &bargain{learner: p.learner, tasks: p.learner.tails(p.state, r.worker)}
-	r.worker.EachRun(func(ref tbflow.TaskRef, run *tbfleet.Run) {
-		if step := p.state.StepOf(ref); step != nil && step.Fills && run.Phase != tbfleet.RunEnding {
-			b.add(step, r.worker, 1)
-		}
-	})
-	return b
-}
-
-func (b *bargain) add(step *tbflow.Step, w *tbfleet.Worker, pace float64) {
-	b.fills = append(b.fills, fillingShare{
-		image: step.Image, share: share(step.Need.MilliProcessors, w),
-		processors: float64(step.Need.MilliProcessors) / 1000, pace: pace,
-	})
-}
--- a/core/tbassign/learn.go
+++ b/core/tbassign/learn.go
@@ -49,3 +49,10 @@
 	}
 	l.ratios[j.Queue] = known + learnWeight*(ratio-known)
 }
+
+// Forget drops what was read at a worker that is gone.
+func (l *Learner) Forget(worker string) {
+	delete(l.looks, worker)
+	delete(l.overSince, worker)
+	delete(l.paced, worker)
+}
--- a/core/tbassign/overload.go
+++ b/core/tbassign/overload.go
@@ -26,7 +26,7 @@
 func postpone(nowMs int64, steps []waitingStep, capacity func(imageOf) float64) {
 	byImage := map[imageOf][]*waitingStep{}
 	for i := range steps {
-		if w := &steps[i]; w.step.Fills && w.hope == onTime {
+		if w := &steps[i]; w.step.Fills && w.lateness == onTime {
 			key := imageOf{w.job.WorkerClass, w.step.Image}
 			byImage[key] = append(byImage[key], w)
 		}
--- a/core/tbassign/overload_test.go
+++ b/core/tbassign/overload_test.go
@@ -59,7 +59,7 @@
 		for i := range w {
 			w[i].postponed = false
 			if w[i].latestStartMs < nowMs {
-				w[i].hope = ofUse
+				w[i].lateness = late
 			}
 		}
 		postpone(nowMs, w, func(imageOf) float64 { return rate / gettingShare })
--- a/core/tbassign/pace.go
+++ b/core/tbassign/pace.go
@@ -33,10 +33,10 @@
 // Paces returns the changes of pace that a worker's newest readings ask for.
 func (l *Learner) Paces(now time.Time, s *tbflow.State, w *tbfleet.Worker) []PaceChange {
 	stop := l.overLong(now, s, w)
-	b := l.bargainAt(s, w)
-	b.settle()
+	c := l.contentionOf(s, w, func(r *tbfleet.Run) bool { return r.Phase == tbfleet.RunGoingOn })
+	c.optimize()
 	paces := map[string]int{}
-	for _, f := range b.fills {
+	for _, f := range c.fills {
 		paces[f.image] = int(f.pace * tbfleet.FullPace)
 	}
 	var changes []PaceChange
--- a/core/tbassign/place.go
+++ b/core/tbassign/place.go
@@ -59,7 +59,7 @@
 // pinnedRoom returns the place held for a task that is being moved, or nil while another
 // task has yet to leave it, and whether there is one.
 func (p *pools) pinnedRoom(w waitingStep, ref tbflow.TaskRef, t *tbflow.Task) (*room, bool) {
-	r := p.byWorker[p.regrouper.pinned(p.now, ref)]
+	r := p.byWorker[p.rebalancer.pinned(p.now, ref)]
 	if r == nil {
 		return nil, false
 	}
@@ -182,7 +182,7 @@
 	}
 	left := r.free.Sub(w.step.Need)
 	if w.step.Lasting {
-		score -= companionWeight * p.companions.cost(w.step.Image, r.lasting)
+		score -= colocationWeight * p.colocation.cost(w.step.Image, r.lasting)
 	}
 	return score - left.Share(r.worker.Capacity) - float64(r.worker.Failures)
 }
@@ -234,8 +234,8 @@
 	switch {
 	case w.step.Fills:
 		r.unused -= sign * need.MilliProcessors
-		if r.bargain != nil && sign > 0 {
-			r.bargain.add(w.step, r.worker, 1)
+		if r.contention != nil && sign > 0 {
+			r.contention.add(w.step, r.worker)
 		}
 		need.MilliProcessors = 0
 	case w.step.Lasting:
--- a/core/tbassign/plan.go
+++ b/core/tbassign/plan.go
@@ -9,7 +9,7 @@
 )
 
 // Plan returns the runs that should start now.
-func Plan(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Regrouper, limit int) []tbflow.Assignment {
+func Plan(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer, limit int) []tbflow.Assignment {
 	pools := newPools(now, s, f, l, g)
 	var plan []tbflow.Assignment
 	for _, step := range pools.waiting() {
@@ -23,16 +23,16 @@
 
 // pools are the usable workers of each class with what this plan has left of them.
 type pools struct {
-	now       time.Time
-	state     *tbflow.State
-	learner   *Learner
-	regrouper *Regrouper
-	classes   map[string][]*room
-	byWorker  map[string]*room
+	now        time.Time
+	state      *tbflow.State
+	learner    *Learner
+	rebalancer *Rebalancer
+	classes    map[string][]*room
+	byWorker   map[string]*room
 	// running sums what the filling tasks of each image ask for that run now, in thousandths of a processor.
 	running map[imageOf]int64
-	// companions compares the lasting images as this plan knows them.
-	companions *companions
+	// colocation compares the lasting images as this plan knows them.
+	colocation *colocation
 	// restricted holds the share of rooms that each filling image harms, once it was needed.
 	restricted map[string]float64
 }
@@ -45,8 +45,8 @@
 	unused int64
 	// lasting counts the lasting tasks by image.
 	lasting map[string]int
-	// bargain weighs more filling tasks against the lasting ones, once it was needed.
-	bargain *bargain
+	// contention weighs more filling tasks against the lasting ones, once it was needed.
+	contention *contention
 	// tasks counts the tasks of steps with a spread limit.
 	tasks map[stepRef]int
 }
@@ -57,11 +57,13 @@
 	step       int
 }
 
-func newPools(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Regrouper) *pools {
+func refOfStep(ref tbflow.TaskRef) stepRef { return stepRef{ref.Job, ref.Occurrence, ref.Step} }
+
+func newPools(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer) *pools {
 	p := &pools{
-		state: s, learner: l, regrouper: g, now: now, classes: map[string][]*room{}, byWorker: map[string]*room{},
+		state: s, learner: l, rebalancer: g, now: now, classes: map[string][]*room{}, byWorker: map[string]*room{},
 		running:    map[imageOf]int64{},
-		companions: newCompanions(l),
+		colocation: newColocation(l),
 	}
 	for _, w := range f.Workers() {
 		if !f.Usable(w, now) {
@@ -85,9 +87,9 @@
 
 // holdPinned keeps the places of tasks that are being moved from all others.
 func (p *pools) holdPinned() {
-	for ref := range p.regrouper.pins {
+	for ref := range p.rebalancer.pins {
 		t := p.taskOf(ref)
-		r := p.byWorker[p.regrouper.pinned(p.now, ref)]
+		r := p.byWorker[p.rebalancer.pinned(p.now, ref)]
 		if r != nil && t != nil && (t.Phase == tbflow.TaskWaiting || t.Worker != r.worker.ID) {
 			r.hold(p.state, ref, 1)
 		}
@@ -127,7 +129,7 @@
 		r.unused -= step.Need.MilliProcessors
 	}
 	if step.SpreadLimit > 0 {
-		r.spread(stepRef{ref.Job, ref.Occurrence, ref.Step}, 1)
+		r.spread(refOfStep(ref), 1)
 	}
 }
 
--- a/core/tbassign/regroup.go
+++ b/core/tbassign/rebalance.go
@@ -19,14 +19,14 @@
 // until images that suffer from the same filling work share instances again. A lasting
 // task is away for less than a second each time.
 
-// Bounds of regrouping.
+// Bounds of rebalancing.
 const (
-	// regroupInterval is the time between two rounds; a change of places takes about half of it.
-	regroupInterval = time.Second
-	// regroupSwaps is the most changes of places in one round.
-	regroupSwaps = 3
-	// regroupRooms is the most instances whose tasks a round tries to move, which bounds its time.
-	regroupRooms = 12
+	// rebalanceInterval is the time between two rounds; a change of places takes about half of it.
+	rebalanceInterval = time.Second
+	// rebalanceSwaps is the most changes of places in one round.
+	rebalanceSwaps = 3
+	// rebalanceRooms is the most instances whose tasks a round tries to move, which bounds its time.
+	rebalanceRooms = 12
 	// leastGain is the least gain of a change, in instances that suit all waiting work; the
 	// loss of its pause is below a tenth of that.
 	leastGain = 0.05
@@ -42,8 +42,8 @@
 	unknownTolerance = 0.5
 )
 
-// Regrouper moves lasting tasks so that more instances suit the filling work that waits.
-type Regrouper struct {
+// Rebalancer moves lasting tasks so that more instances suit the filling work that waits.
+type Rebalancer struct {
 	next  time.Time
 	pins  map[tbflow.TaskRef]pin
 	moved map[tbflow.TaskRef]time.Time
@@ -64,13 +64,13 @@
 	Gain float64
 }
 
-// NewRegrouper returns a regrouper that has moved nothing yet.
-func NewRegrouper() *Regrouper {
-	return &Regrouper{pins: map[tbflow.TaskRef]pin{}, moved: map[tbflow.TaskRef]time.Time{}}
+// NewRebalancer returns a rebalancer that has moved nothing yet.
+func NewRebalancer() *Rebalancer {
+	return &Rebalancer{pins: map[tbflow.TaskRef]pin{}, moved: map[tbflow.TaskRef]time.Time{}}
 }
 
 // pinned returns the place held for a task, or an empty string.
-func (g *Regrouper) pinned(now time.Time, ref tbflow.TaskRef) string {
+func (g *Rebalancer) pinned(now time.Time, ref tbflow.TaskRef) string {
 	if p, ok := g.pins[ref]; ok && now.Before(p.until) {
 		return p.worker
 	}
@@ -78,11 +78,11 @@
 }
 
 // Moves returns the lasting tasks to stop now; Plan starts them again at their new places.
-func (g *Regrouper) Moves(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner) []Move {
+func (g *Rebalancer) Moves(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner) []Move {
 	if now.Before(g.next) {
 		return nil
 	}
-	g.next = now.Add(regroupInterval)
+	g.next = now.Add(rebalanceInterval)
 	g.forget(now)
 	demand := waitingFill(s, l)
 	if len(demand) == 0 {
@@ -91,7 +91,7 @@
 	groups := newGroups(now, s, f, l, g.moved, demand)
 	groups.weigh(demand)
 	var moves []Move
-	for range regroupSwaps {
+	for range rebalanceSwaps {
 		best := groups.best()
 		if best.gain < leastGain {
 			break
@@ -106,7 +106,7 @@
 	return moves
 }
 
-func (g *Regrouper) forget(now time.Time) {
+func (g *Rebalancer) forget(now time.Time) {
 	maps.DeleteFunc(g.pins, func(_ tbflow.TaskRef, p pin) bool { return !now.Before(p.until) })
 	maps.DeleteFunc(g.moved, func(_ tbflow.TaskRef, at time.Time) bool { return now.Sub(at) > restAfterMove })
 }
@@ -229,14 +229,12 @@
 	return away
 }
 
-func refOfStep(ref tbflow.TaskRef) stepRef { return stepRef{ref.Job, ref.Occurrence, ref.Step} }
-
 func newClassGroups(l *Learner) *classGroups {
-	companions := newCompanions(l)
-	c := &classGroups{filling: companions.filling, weights: make([]float64, len(companions.filling)), tolerance: map[string][]float64{}}
+	colocation := newColocation(l)
+	c := &classGroups{filling: colocation.filling, weights: make([]float64, len(colocation.filling)), tolerance: map[string][]float64{}}
 	for lasting := range l.harm {
 		tolerance := make([]float64, len(c.weights))
-		for i, harm := range companions.of(lasting) {
+		for i, harm := range colocation.of(lasting) {
 			tolerance[i] = 1 - harm
 			if math.IsNaN(harm) {
 				tolerance[i] = unknownTolerance
@@ -340,7 +338,7 @@
 		}
 	}
 	slices.SortStableFunc(rooms, func(a, b *groupRoom) int { return cmp.Compare(c.suits(b), c.suits(a)) })
-	return rooms[:min(len(rooms), regroupRooms)]
+	return rooms[:min(len(rooms), rebalanceRooms)]
 }
 
 // mixedShare is the share of an instance from which on a minority of its lasting tasks counts.
--- a/core/tbassign/wait.go
+++ b/core/tbassign/wait.go
@@ -24,22 +24,22 @@
 	// has passed, for its job to be of some use.
 	latestStartMs int64
 	// endMs is when the job has to end to be on time.
-	endMs int64
-	hope  hope
+	endMs    int64
+	lateness lateness
 	// postponed is true when the job would make others late that can be on time.
 	postponed bool
 	// work is what the step and those behind it still have to do, in processor seconds.
 	work float64
 }
 
-// hope tells what can still become of a job.
-type hope uint8
+// lateness tells what can still become of a job.
+type lateness uint8
 
 const (
 	// onTime means that the job can still meet its objective.
-	onTime hope = iota
-	// ofUse means that it can end within usefulFor times its objective.
-	ofUse
+	onTime lateness = iota
+	// late means that it can end within usefulFor times its objective.
+	late
 	// tooLate means that nobody waits for it any more; it is finished all the same.
 	tooLate
 )
@@ -83,11 +83,11 @@
 		rest := chain(j, l, i).Milliseconds()
 		w.endMs = j.DueMs(k) + objective
 		w.latestStartMs = w.endMs - rest
-		if late := w.latestStartMs < s.NowMs; late && !w.step.Lasting {
-			w.hope = ofUse
+		if w.latestStartMs < s.NowMs && !w.step.Lasting {
+			w.lateness = late
 			w.latestStartMs = j.DueMs(k) + usefulFor*objective - rest
 			if w.latestStartMs < s.NowMs {
-				w.hope = tooLate
+				w.lateness = tooLate
 			}
 		}
 		all = append(all, w)
@@ -148,9 +148,9 @@
 		c++
 	case w.postponed:
 		c += 2
-	case w.hope == ofUse:
+	case w.lateness == late:
 		c += 3
-	case w.hope == tooLate:
+	case w.lateness == tooLate:
 		c += 4
 	}
 	return c
--- a/core/tbcontrol/flow.go
+++ b/core/tbcontrol/flow.go
@@ -12,10 +12,10 @@
 
 // flowLead is what only a leader knows of jobs of steps and their workers.
 type flowLead struct {
-	fleet   *tbfleet.Fleet
-	learner *tbassign.Learner
-	regroup *tbassign.Regrouper
-	group   groupKeeper
+	fleet     *tbfleet.Fleet
+	learner   *tbassign.Learner
+	rebalance *tbassign.Rebalancer
+	group     groupKeeper
 	// submitting holds the jobs whose acceptance is proposed: they may run and are not turned away.
 	submitting map[string]bool
 	// assigning is true while a plan is proposed and not yet applied.
@@ -45,7 +45,7 @@
 	l := &flowLead{
 		fleet:      tbfleet.New(c.cfg.Fleet, c.replica.Term()),
 		learner:    tbassign.NewLearner(),
-		regroup:    tbassign.NewRegrouper(),
+		rebalance:  tbassign.NewRebalancer(),
 		group:      newGroupKeeper(c.cfg.GroupSize),
 		submitting: map[string]bool{},
 		stale:      true,
@@ -209,6 +209,10 @@
 		delete(l.submitting, command.Job.ID)
 	case tbflow.Assign:
 		l.assigning = false
+	case tbflow.ForgetWorker:
+		if l.fleet.Worker(command.Worker) == nil {
+			l.learner.Forget(command.Worker)
+		}
 	case tbflow.Cancel:
 		l.stopRuns(now, c.state.Flow.Jobs[command.ID])
 	case tbflow.NoteEnds:
@@ -284,7 +288,7 @@
 
 // moveLasting stops the lasting tasks that should change places; the next plans start them there.
 func (l *flowLead) moveLasting(c *Control, now time.Time) {
-	for _, m := range l.regroup.Moves(now, c.state.Flow, l.fleet, l.learner) {
+	for _, m := range l.rebalance.Moves(now, c.state.Flow, l.fleet, l.learner) {
 		c.emit(Log{Message: "lasting task moves", Args: []any{
 			"job", m.Ref.Job, "task", m.Ref.String(), "worker", m.From, "to", m.To, "gain", m.Gain, "index", c.state.Applied,
 		}})
@@ -303,7 +307,7 @@
 	}
 	l.stale = false
 	l.planAt = now.Add(planPause)
-	if runs := tbassign.Plan(now, c.state.Flow, l.fleet, l.learner, l.regroup, maxAssignments); len(runs) > 0 {
+	if runs := tbassign.Plan(now, c.state.Flow, l.fleet, l.learner, l.rebalance, maxAssignments); len(runs) > 0 {
 		l.assigning = true
 		l.planAt = time.Time{}
 		c.proposeFlow(tbflow.Assign{Runs: runs})
