Answer the state of a job that is about to end when its end is recorded

Change: the leader holds a question for a job whose last tasks run until the job ends, 30 ms at most, and answers it only while it still leads; all other questions as before. Ruled out: recording ends faster (bounded by the disks).

Most short jobs that are still late met an order without an answer (applied_late): settling it waits for the open look, up to 1 s.

--- a/core/tbcontrol/control.go
+++ b/core/tbcontrol/control.go
@@ -19,7 +19,9 @@
 	inFlight   []sentBatch
 	lead       *leadership
 	// asked holds the questions whose commands are proposed.
-	asked   map[uint64]bool
+	asked map[uint64]bool
+	// reads holds the questions that wait for an end to be recorded.
+	reads   []heldRead
 	failed  bool
 	effects []Effect
 }
@@ -67,6 +69,9 @@
 // NextDue returns when Ticked next has something to do.
 func (c *Control) NextDue() time.Time {
 	due := c.replica.NextDue()
+	if len(c.reads) > 0 && c.reads[0].until.Before(due) {
+		due = c.reads[0].until
+	}
 	if c.lead == nil {
 		return due
 	}
@@ -118,6 +123,7 @@
 		c.failed = true
 	}
 	c.collect(now)
+	c.answerReads(now)
 	c.takeFleetOutput()
 	effects := c.effects
 	c.effects = nil
--- a/core/tbcontrol/flow.go
+++ b/core/tbcontrol/flow.go
@@ -75,7 +75,7 @@
 	case ConfigPut:
 		c.commitFlow(ev, tbflow.PutConfig{Config: q.Config})
 	case JobAsked:
-		c.answer(ev.Request, c.jobAnswer(q))
+		c.onJobAsked(now, ev.Request, q)
 	case QueueAsked:
 		c.answer(ev.Request, c.queueAnswer(q))
 	case ConfigAsked:
--- a/core/tbcontrol/group_test.go
+++ b/core/tbcontrol/group_test.go
@@ -9,6 +9,7 @@
 
 	"tamarackbarrow/core/tbconsensus"
 	"tamarackbarrow/core/tbcontrol"
+	"tamarackbarrow/core/tbfleet"
 	"tamarackbarrow/core/tbflow"
 	"tamarackbarrow/core/tbplacement"
 	"tamarackbarrow/io/tbbundlefile"
@@ -65,6 +66,10 @@
 		},
 		SnapshotEvery: 1000, MaxInFlight: 2, MaxBatchCommands: 100, MaxWaiting: 100,
 		Placement: tbplacement.DefaultPolicy(), GroupSize: groupSize,
+		Fleet: tbfleet.Terms{
+			Lease: 4 * time.Second, LongestLease: 6 * time.Second, LongestDelay: 12 * time.Second, ClockRateBound: 0.02,
+			LookWait: time.Second, OrderTimeout: time.Second, HeartbeatSilence: time.Hour, RetryPause: time.Second,
+		},
 	}, tbcodec.New(func(source []byte) (tbbundle.Bundle, error) { return tbbundlefile.Parse("bundle", source) }), d.restored, g.now)
 	qt.Assert(g.t, err, qt.IsNil)
 	r := &replica{id: id, address: address, disk: d, control: control, answers: map[uint64]tbcontrol.AnswerQuestion{}}
