Give up an unanswered start once another worker has the address

At 31.353 s a lasting task was started at a worker that had been cut off 6 ms before and crashed behind the cut; at 35.222 s another worker answered 421 at its address, but the start counted as possible until 49.6 s, 18 s after it, for fear of a new life under the same id. Change: a worker whose address another one has is replaced for good, and orders that name it are refused there; its unanswered starts are given up with its other runs. A worker that signs off keeps them, as before. Ruled out: moves of lasting tasks as the cause; they only made a start at that moment likelier.

--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -34,6 +34,9 @@
 	known bool
 	// adopted is true once a look of this leader was answered.
 	adopted bool
+	// replaced is true once another worker has the address: it refuses orders that name this
+	// one, and an id that was replaced does not come back.
+	replaced bool
 	// lives counts the restarts under the same id that this leader saw.
 	lives uint64
 	// lastOrder is when the last start was ordered from any life.
@@ -221,6 +224,7 @@
 			if other.Born > r.Born {
 				return false
 			}
+			other.replaced = true
 			f.ended(now, other, "another worker answers at its address")
 		}
 	}
@@ -255,10 +259,11 @@
 //
 // A run whose order was not answered is kept until the order can no longer take
 // effect: a new life under the same id would carry it out, since its clock starts anew.
+// A worker with another id refuses it.
 func (f *Fleet) lose(now time.Time, w *Worker, why string) {
 	c := tbflow.NoteEnds{Worker: w.ID, Born: w.Born}
 	for ref, r := range w.runs {
-		if r.Phase == RunEnding || r.born != 0 || r.uncertain() && now.Before(f.settledBy(r)) {
+		if r.Phase == RunEnding || r.born != 0 || !w.replaced && r.uncertain() && now.Before(f.settledBy(r)) {
 			continue
 		}
 		r.Phase = RunEnding
