--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -224,8 +224,7 @@
 			if other.Born > r.Born {
 				return false
 			}
-			other.replaced = true
-			f.ended(now, other, "another worker answers at its address")
+			f.replace(now, other)
 		}
 	}
 	if w.Born != 0 && r.Born > w.Born {
@@ -248,6 +247,12 @@
 	}
 }
 
+// replace gives up all runs of a worker whose address another one has.
+func (f *Fleet) replace(now time.Time, w *Worker) {
+	w.replaced = true
+	f.ended(now, w, "another worker answers at its address")
+}
+
 // ended gives up all runs of a life that has surely ended.
 func (f *Fleet) ended(now time.Time, w *Worker, why string) {
 	w.known = false
--- a/core/tbfleet/look.go
+++ b/core/tbfleet/look.go
@@ -82,8 +82,7 @@
 	w.looking = false
 	switch {
 	case a.Verdict == OtherLife:
-		w.replaced = true
-		f.ended(now, w, "another worker answers at its address")
+		f.replace(now, w)
 		return
 	case a.Verdict == Accepted && a.ActualBorn > w.Born:
 		r := w.Report
--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -83,7 +83,7 @@
 		f.sampleClock(now, w, a.ClockMs)
 		f.startRefused(now, w, a, run)
 	case OtherLife:
-		f.ended(now, w, "another life answers at its address")
+		f.replace(now, w)
 	case Unanswered:
 		f.out.Notes = append(f.out.Notes, Note{What: "start not answered", Worker: w.ID, Ref: a.Ref, Run: a.Run, Detail: a.Cause})
 		if run.Phase == RunOrdered {
@@ -180,7 +180,7 @@
 			run.stopAcked = now
 		}
 	case OtherLife:
-		f.ended(now, w, "another life answers at its address")
+		f.replace(now, w)
 	}
 	f.tend(now, w)
 }
--- a/core/tbfleet/replaced_test.go
+++ b/core/tbfleet/replaced_test.go
@@ -62,6 +62,12 @@
 	f.LookAnswered(now, tbfleet.LookAnswered{Worker: "old", Born: now.Add(-4 * time.Second).UnixMilli(), SentAt: now, Verdict: tbfleet.OtherLife})
 	qt.Check(t, givenUp(f), qt.IsTrue)
 
+	f, _, now = doubtful(t)
+	f.StopAnswered(now.Add(4*time.Second), tbfleet.StopAnswered{
+		Worker: "old", Born: now.UnixMilli(), Ref: tbflow.TaskRef{Job: "j"}, Run: 1, Verdict: tbfleet.OtherLife,
+	})
+	qt.Check(t, givenUp(f), qt.IsTrue)
+
 	f, _, now = doubtful(t)
 	now = now.Add(4 * time.Second)
 	qt.Check(t, f.Heard(now, report("new", now)), qt.IsTrue)
