Count waiting work, label and spread limit in one place each

Cause: reading the change once more: the work of waiting tasks was summed in three places (waiting, backlog, rebalancing), the label and spread limit of a step were checked in two (placing, rebalancing), the tolerances of images were kept beside the severities that they follow from, once for each class, and each plan looked up the step of a run twice. Change: waitingWork and admitted serve all of them, tolerances are derived. Behaviour is meant to stay; the backlog is in processor seconds instead of thousandths and nanoseconds.

--- a/core/tbassign/admit.go
+++ b/core/tbassign/admit.go
@@ -30,7 +30,7 @@
 		// Workers that a new leader has not heard yet, or that are only avoided for a
 		// moment, will do their part of the backlog.
 		if w.Class == q.WorkerClass && !w.Draining && !w.Silent {
-			drain += float64(w.Capacity.MilliProcessors)
+			drain += float64(w.Capacity.MilliProcessors) / 1000
 		}
 	}
 	if drain == 0 {
@@ -40,14 +40,14 @@
 	if fills {
 		drain *= fillShare
 	}
-	wait := time.Duration(backlog(s, l, q.WorkerClass, fills) / drain)
+	wait := time.Duration(backlog(s, l, q.WorkerClass, fills) / drain * float64(time.Second))
 	if wait <= longestBacklog {
 		return true, 0
 	}
 	return false, wait - longestBacklog
 }
 
-// backlog returns the work of all waiting tasks of a class, in thousandths of a processor times nanoseconds.
+// backlog returns the work of all waiting tasks of a class, in processor seconds.
 func backlog(s *tbflow.State, l *Learner, class string, fills bool) float64 {
 	sum := 0.0
 	for _, j := range s.Active() {
@@ -60,12 +60,7 @@
 				if step.Lasting || step.Fills != fills || j.DueMs(k) > s.NowMs {
 					continue
 				}
-				one := float64(step.Need.MilliProcessors) * float64(l.RunTime(j, step))
-				for n := range j.Tasks[k][i] {
-					if j.Tasks[k][i][n].Phase == tbflow.TaskWaiting {
-						sum += one
-					}
-				}
+				sum += waitingWork(j, l, k, i)
 			}
 		}
 	}
--- a/core/tbassign/place.go
+++ b/core/tbassign/place.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"tamarackbarrow/core/tbfleet"
 	"tamarackbarrow/core/tbflow"
 )
 
@@ -148,12 +149,15 @@
 		return false
 	case t.LastFailedOn == r.worker.ID && rooms > 1:
 		return false
-	case w.step.Label != "" && !slices.Contains(r.worker.Labels, w.step.Label):
-		return false
-	case w.step.SpreadLimit > 0 && r.tasks[w.ref()] >= w.step.SpreadLimit:
-		return false
 	}
-	return true
+	return admitted(w.step, r.worker, r.tasks[w.ref()])
+}
+
+// admitted reports whether a worker has the step's label and may run one more of its
+// tasks beside those that it has.
+func admitted(step *tbflow.Step, w *tbfleet.Worker, beside int) bool {
+	return (step.Label == "" || slices.Contains(w.Labels, step.Label)) &&
+		(step.SpreadLimit <= 0 || beside < step.SpreadLimit)
 }
 
 // shortReserve is the share of an instance's processors that lasting tasks leave to short ones.
--- a/core/tbassign/plan.go
+++ b/core/tbassign/plan.go
@@ -73,8 +73,12 @@
 		r := &room{worker: w, free: w.Capacity.Sub(use.Reserved), lasting: map[string]int{}}
 		r.unused = w.Capacity.MilliProcessors - use.FillProcessors
 		s.EachRun(w.ID, func(ref tbflow.TaskRef, _ *tbflow.Task) {
-			r.count(s, ref)
-			if step := s.StepOf(ref); step != nil && step.Fills {
+			step := s.StepOf(ref)
+			if step == nil {
+				return
+			}
+			r.count(step, ref)
+			if step.Fills {
 				p.running[imageOf{w.Class, step.Image}] += step.Need.MilliProcessors
 			}
 		})
@@ -117,11 +121,8 @@
 }
 
 // count takes one assigned task into the room's estimates.
-func (r *room) count(s *tbflow.State, ref tbflow.TaskRef) {
-	step := s.StepOf(ref)
+func (r *room) count(step *tbflow.Step, ref tbflow.TaskRef) {
 	switch {
-	case step == nil:
-		return
 	case step.Lasting:
 		r.lasting[step.Image]++
 		r.unused -= int64(float64(step.Need.MilliProcessors) * lastingLoad)
--- a/core/tbassign/rebalance.go
+++ b/core/tbassign/rebalance.go
@@ -121,20 +121,14 @@
 				if !step.Fills || j.DueMs(k) > s.NowMs || !j.StepReady(k, i) {
 					continue
 				}
-				waiting := 0
-				for n := range j.Tasks[k][i] {
-					if j.Tasks[k][i][n].Phase == tbflow.TaskWaiting {
-						waiting++
-					}
-				}
-				if waiting == 0 {
+				work := waitingWork(j, l, k, i)
+				if work == 0 {
 					continue
 				}
 				if demand[j.WorkerClass] == nil {
 					demand[j.WorkerClass] = map[string]float64{}
 				}
-				one := float64(step.Need.MilliProcessors) / 1000 * l.RunTime(j, step).Seconds()
-				demand[j.WorkerClass][step.Image] += one * float64(waiting)
+				demand[j.WorkerClass][step.Image] += work
 			}
 		}
 	}
@@ -147,12 +141,10 @@
 }
 
 type classGroups struct {
-	filling []string
-	// weights are the shares of the waiting work by filling image.
+	colocation *colocation
+	// weights are the shares of the waiting work by filling image, in the order of colocation.filling.
 	weights []float64
-	// tolerance is how well a lasting image bears each filling image, from 0 to 1.
-	tolerance map[string][]float64
-	rooms     []*groupRoom
+	rooms   []*groupRoom
 }
 
 // groupRoom is one instance.
@@ -181,8 +173,9 @@
 	demand map[string]map[string]float64,
 ) *groups {
 	g := &groups{class: map[string]*classGroups{}}
+	colocation := newColocation(l)
 	for class := range demand {
-		g.class[class] = newClassGroups(l)
+		g.class[class] = &classGroups{colocation: colocation, weights: make([]float64, len(colocation.filling))}
 	}
 	away := tasksAway(s, f)
 	for _, w := range f.Workers() {
@@ -229,28 +222,12 @@
 	return away
 }
 
-func newClassGroups(l *Learner) *classGroups {
-	colocation := newColocation(l)
-	c := &classGroups{filling: colocation.filling, weights: make([]float64, len(colocation.filling)), tolerance: map[string][]float64{}}
-	for lasting := range l.harm {
-		tolerance := make([]float64, len(c.weights))
-		for i, harm := range colocation.of(lasting) {
-			tolerance[i] = 1 - harm
-			if math.IsNaN(harm) {
-				tolerance[i] = unknownTolerance
-			}
-		}
-		c.tolerance[lasting] = tolerance
-	}
-	return c
-}
-
 // weigh sets the weights of filling images to the work that waits beyond what the
 // instances that suit them do within a moment.
 func (g *groups) weigh(demand map[string]map[string]float64) {
 	for class, c := range g.class {
 		sum := 0.0
-		for i, image := range c.filling {
+		for i, image := range c.colocation.filling {
 			suited := 0.0
 			for _, r := range c.rooms {
 				if r.lasting <= 0 || r.tolerant[i]/r.lasting > 1-mixedShare {
@@ -270,13 +247,12 @@
 func (c *classGroups) add(r *groupRoom, step *tbflow.Step, sign float64) {
 	need := float64(step.Need.MilliProcessors) * sign
 	r.lasting += need
-	tolerance := c.tolerance[step.Image]
-	for i := range r.tolerant {
-		t := unknownTolerance
-		if tolerance != nil {
-			t = tolerance[i]
+	for i, harm := range c.colocation.of(step.Image) {
+		tolerance := 1 - harm
+		if math.IsNaN(harm) {
+			tolerance = unknownTolerance
 		}
-		r.tolerant[i] += need * t
+		r.tolerant[i] += need * tolerance
 	}
 }
 
@@ -411,10 +387,8 @@
 	switch {
 	case t.step.Gang || t.step.RackLocal:
 		return false
-	case t.step.Label != "" && !slices.Contains(r.worker.Labels, t.step.Label):
-		return false
 	case t.step.Rack != "" && from.worker.Rack == t.step.Rack && r.worker.Rack != t.step.Rack:
 		return false
 	}
-	return t.step.SpreadLimit == 0 || r.steps[refOfStep(t.ref)] < t.step.SpreadLimit
+	return admitted(t.step, r.worker, r.steps[refOfStep(t.ref)])
 }
--- a/core/tbassign/wait.go
+++ b/core/tbassign/wait.go
@@ -116,16 +116,23 @@
 func workLeft(j *tbflow.Job, l *Learner, k int) float64 {
 	sum := 0.0
 	for i := range j.Steps {
-		one := float64(j.Steps[i].Need.MilliProcessors) / 1000 * l.RunTime(j, &j.Steps[i]).Seconds()
-		for n := range j.Tasks[k][i] {
-			if j.Tasks[k][i][n].Phase == tbflow.TaskWaiting {
-				sum += one
-			}
-		}
+		sum += waitingWork(j, l, k, i)
 	}
 	return sum
 }
 
+// waitingWork returns the work of the waiting tasks of one step, in processor seconds.
+func waitingWork(j *tbflow.Job, l *Learner, k, i int) float64 {
+	waiting := 0
+	for n := range j.Tasks[k][i] {
+		if j.Tasks[k][i][n].Phase == tbflow.TaskWaiting {
+			waiting++
+		}
+	}
+	one := float64(j.Steps[i].Need.MilliProcessors) / 1000 * l.RunTime(j, &j.Steps[i]).Seconds()
+	return one * float64(waiting)
+}
+
 func compareWaiting(a, b waitingStep) int {
 	if c := cmp.Compare(class(a), class(b)); c != 0 {
 		return c
