Reserve and occupy a room in one place

Cause: reading the change once more: placing a task, holding the place of one that moves and counting those that run each had a copy of the same sums. Change: reserve takes capacity and spread limit, occupy the expected use. Behaviour stays.

--- a/core/tbassign/place.go
+++ b/core/tbassign/place.go
@@ -233,27 +233,16 @@
 
 func (r *room) giveBack(w waitingStep) { r.change(w, -1) }
 
-func (r *room) change(w waitingStep, sign int64) {
+func (r *room) change(w waitingStep, sign int) {
 	need := w.step.Need
-	switch {
-	case w.step.Fills:
-		r.unused -= sign * need.MilliProcessors
+	if w.step.Fills {
+		r.unused -= int64(sign) * need.MilliProcessors
 		if r.contention != nil && sign > 0 {
 			r.contention.add(w.step, r.worker)
 		}
 		need.MilliProcessors = 0
-	case w.step.Lasting:
-		r.lasting[w.step.Image] += int(sign)
-		r.unused -= sign * int64(float64(need.MilliProcessors)*lastingLoad)
-	default:
-		r.unused -= sign * need.MilliProcessors
-	}
-	if sign > 0 {
-		r.free = r.free.Sub(need)
 	} else {
-		r.free = r.free.Add(need)
-	}
-	if w.step.SpreadLimit > 0 {
-		r.spread(w.ref(), int(sign))
+		r.occupy(w.step, sign)
 	}
+	r.reserve(w.step, w.ref(), need, sign)
 }
--- a/core/tbassign/plan.go
+++ b/core/tbassign/plan.go
@@ -103,13 +103,18 @@
 // hold counts a task that is to come as if it was there already, or with sign -1 takes that back.
 func (r *room) hold(s *tbflow.State, ref tbflow.TaskRef, sign int) {
 	step := s.StepOf(ref)
+	r.reserve(step, refOfStep(ref), step.Need, sign)
+}
+
+// reserve takes what one task of a step needs from the room, or with sign -1 gives it back.
+func (r *room) reserve(step *tbflow.Step, ref stepRef, need tbresource.Amount, sign int) {
 	if sign > 0 {
-		r.free = r.free.Sub(step.Need)
+		r.free = r.free.Sub(need)
 	} else {
-		r.free = r.free.Add(step.Need)
+		r.free = r.free.Add(need)
 	}
 	if step.SpreadLimit > 0 {
-		r.spread(refOfStep(ref), sign)
+		r.spread(ref, sign)
 	}
 }
 
@@ -122,15 +127,20 @@
 
 // count takes one assigned task into the room's estimates.
 func (r *room) count(step *tbflow.Step, ref tbflow.TaskRef) {
+	r.occupy(step, 1)
+	if step.SpreadLimit > 0 {
+		r.spread(refOfStep(ref), 1)
+	}
+}
+
+// occupy counts what a task that does not fill is expected to use, or with sign -1 takes that back.
+func (r *room) occupy(step *tbflow.Step, sign int) {
 	switch {
 	case step.Lasting:
-		r.lasting[step.Image]++
-		r.unused -= int64(float64(step.Need.MilliProcessors) * lastingLoad)
+		r.lasting[step.Image] += sign
+		r.unused -= int64(sign) * int64(float64(step.Need.MilliProcessors)*lastingLoad)
 	case !step.Fills:
-		r.unused -= step.Need.MilliProcessors
-	}
-	if step.SpreadLimit > 0 {
-		r.spread(refOfStep(ref), 1)
+		r.unused -= int64(sign) * step.Need.MilliProcessors
 	}
 }
 
