--- a/core/tbcontrol/control.go
+++ b/core/tbcontrol/control.go
@@ -115,7 +115,7 @@
 		c.onWorkerAnswer(now, ev)
 	case BatchEnded:
 		c.planFlow(now)
-		c.takeFleetOutput()
+		c.takeFleetOutput(now)
 		c.proposeWaiting(now)
 	case StopBegun:
 		c.replica.Transfer(now)
@@ -124,7 +124,7 @@
 	}
 	c.collect(now)
 	c.answerReads(now)
-	c.takeFleetOutput()
+	c.takeFleetOutput(now)
 	effects := c.effects
 	c.effects = nil
 	return effects
--- a/core/tbcontrol/decisions.go
+++ b/core/tbcontrol/decisions.go
@@ -13,7 +13,7 @@
 	if n.Ref.Job != "" {
 		args = append(args, "job", n.Ref.Job, "task", n.Ref.String(), "run", n.Run)
 	}
-	c.emit(Log{Message: n.What, Detail: n.Detail, Args: args})
+	c.emit(Log{Message: n.What, Detail: n.Detail, Args: append(args, n.Inputs...)})
 }
 
 // logApplied logs a committed decision with the index at which every replica has it.
--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -276,7 +276,7 @@
 	}
 	if len(c.Ends) > 0 {
 		f.out.Commands = append(f.out.Commands, c)
-		f.out.Notes = append(f.out.Notes, Note{What: "worker lost", Worker: w.ID, Detail: why})
+		f.out.Notes = append(f.out.Notes, Note{What: "worker lost", Worker: w.ID, Detail: why, Inputs: w.leaseInputs(now)})
 	}
 	for ref, r := range w.runs {
 		if r.born != 0 && r.Phase != RunEnding && now.After(f.settledBy(r)) {
@@ -349,6 +349,14 @@
 	return w.leaseEnd
 }
 
+// leaseInputs are what the leader believes of a worker's lease, for the log.
+func (w *Worker) leaseInputs(now time.Time) []any {
+	return []any{
+		"leaseEndMs", w.leaseEnd, "clockMs", w.clockMs, "clockAgeMs", now.Sub(w.clockAt).Milliseconds(),
+		"lapsesInMs", w.lapsesAt.Sub(now).Milliseconds(),
+	}
+}
+
 func (f *Fleet) target(w *Worker) Target {
 	return Target{ID: w.ID, Address: w.Address, Born: w.Born, Token: f.token<<livesBits | w.lives}
 }
--- a/core/tbfleet/look.go
+++ b/core/tbfleet/look.go
@@ -94,7 +94,7 @@
 		return
 	case a.Verdict != Accepted:
 		if !w.Silent {
-			f.out.Notes = append(f.out.Notes, Note{What: "worker does not answer", Worker: w.ID})
+			f.out.Notes = append(f.out.Notes, Note{What: "worker does not answer", Worker: w.ID, Inputs: w.leaseInputs(now)})
 		}
 		w.Silent = true
 		w.retryAt = now.Add(f.terms.RetryPause)
@@ -123,6 +123,9 @@
 		run := w.runs[r.Ref]
 		if run == nil || run.Run != r.Run {
 			if run == nil || run.Run > r.Run {
+				f.out.Notes = append(f.out.Notes, Note{
+					What: "run is not assigned", Worker: w.ID, Ref: r.Ref, Run: r.Run, Inputs: w.leaseInputs(now),
+				})
 				f.call(Stop{Target: f.target(w), Ref: r.Ref, Run: r.Run, Timeout: f.terms.OrderTimeout})
 			}
 			continue
--- a/core/tbfleet/types.go
+++ b/core/tbfleet/types.go
@@ -179,6 +179,8 @@
 	Ref    tbflow.TaskRef
 	Run    uint64
 	Detail string
+	// Inputs are the values that decided it, as pairs of a name and a value.
+	Inputs []any
 }
 
 // Output is what has to be done after an event.
