Grant a lease only by a worker's clock that was read

Cause: a new leader knows the addresses of workers from the log but has read no clock. It computed the end of the first lease from the zero time, 292 years ahead, and kept the latest end for all later orders. A worker shortens such a lease to the longest one, counted from the moment at which it carries the order out, and that may be 12 s after the order was sent. The leader counts from the sending, gives the worker up while it runs on, and starts its tasks elsewhere.

Change: a clock reading is a type of its own that says whether there is one; without it a look renews nothing, no task is started and the worker is not usable. An end is computed anew for each order, and the time by which all leases have ended never moves back: with leases shorter than the longest one a renewal moved it before the end of an earlier leader's lease.

Why it works: the end that an order names is at most one lease after the least time that the clock can show when the order is sent, whenever it is carried out.

--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -43,12 +43,11 @@
 	lastOrder time.Time
 	// fence is true until a look has fenced off orders that were meant for an earlier life.
 	fence bool
-	// clockMs is the worker's clock as it was reported at clockAt.
-	clockMs int64
-	clockAt time.Time
-	// leaseEnd is the latest end of the lease that was ordered, on the worker's clock.
+	// clock is the newest reading of the worker's clock.
+	clock clockReading
+	// leaseEnd is the end of the lease that was ordered last, on the worker's clock.
 	leaseEnd int64
-	// lapsesAt is when the lease has surely ended, on the leader's clock.
+	// lapsesAt is when every lease has surely ended that any leader granted, on the leader's clock.
 	lapsesAt time.Time
 	// seen is the last end that is recorded, and proposed the last one that is proposed to be.
 	seen     uint64
@@ -199,7 +198,7 @@
 
 // Usable reports whether the worker may get a new task now.
 func (f *Fleet) Usable(w *Worker, now time.Time) bool {
-	return w.known && !w.Draining && !w.Silent && !w.fence &&
+	return w.known && !w.Draining && !w.Silent && !w.fence && w.clock.known() &&
 		now.Sub(w.HeardAt) < f.terms.HeartbeatSilence && !now.Before(w.AvoidUntil)
 }
 
@@ -235,7 +234,7 @@
 	w.Draining = r.Draining || draining
 	w.known = true
 	w.HeardAt = now
-	f.sampleClock(now, w, r.ClockMs)
+	w.clock.take(now, r.ClockMs)
 	f.tend(now, w)
 	return true
 }
@@ -330,29 +329,25 @@
 	}
 }
 
-func (f *Fleet) sampleClock(now time.Time, w *Worker, clockMs int64) {
-	if clockMs > 0 {
-		w.clockMs, w.clockAt = clockMs, now
-	}
-}
-
-// clock returns the least time that the worker's clock can show.
-func (f *Fleet) clock(w *Worker, now time.Time) int64 {
-	elapsed := float64(now.Sub(w.clockAt).Milliseconds())
-	return w.clockMs + int64(elapsed*(1-f.terms.ClockRateBound))
-}
-
-// extend returns the lease's new end on the worker's clock.
+// extend returns the lease's new end on the worker's clock, or 0 while that clock is unknown.
+//
+// An order may be carried out seconds after it was sent, so that the end has to be a time
+// that the worker's clock reaches within the lease: a later one would count from whenever
+// the order is carried out.
 func (f *Fleet) extend(now time.Time, w *Worker) int64 {
-	w.leaseEnd = max(w.leaseEnd, f.clock(w, now)+f.terms.Lease.Milliseconds())
-	w.lapsesAt = now.Add(f.lapse(f.terms.Lease + time.Duration(float64(now.Sub(w.clockAt))*f.terms.ClockRateBound)))
+	clockMs, ok := w.clock.atLeast(now, f.terms.ClockRateBound)
+	if !ok {
+		return 0
+	}
+	w.leaseEnd = clockMs + f.terms.Lease.Milliseconds()
+	w.lapsesAt = maxTime(w.lapsesAt, now.Add(f.lapse(f.terms.Lease)))
 	return w.leaseEnd
 }
 
 // leaseInputs are what the leader believes of a worker's lease, for the log.
 func (w *Worker) leaseInputs(now time.Time) []any {
 	return []any{
-		"leaseEndMs", w.leaseEnd, "clockMs", w.clockMs, "clockAgeMs", now.Sub(w.clockAt).Milliseconds(),
+		"leaseEndMs", w.leaseEnd, "clockMs", w.clock.ms, "clockAgeMs", w.clock.age(now).Milliseconds(),
 		"lapsesInMs", w.lapsesAt.Sub(now).Milliseconds(),
 	}
 }
--- a/core/tbfleet/look.go
+++ b/core/tbfleet/look.go
@@ -89,7 +89,7 @@
 		r.Born, r.Sequence, r.Draining, r.ClockMs = a.ActualBorn, 0, false, a.ClockMs
 		f.reborn(now, w, r)
 		w.known = true
-		f.sampleClock(now, w, a.ClockMs)
+		w.clock.take(now, a.ClockMs)
 		f.tend(now, w)
 		return
 	case a.Verdict != Accepted:
@@ -108,7 +108,7 @@
 	w.noted = max(w.noted, a.Seen)
 	w.HeardAt = now
 	w.retryAt = time.Time{}
-	f.sampleClock(now, w, a.ClockMs)
+	w.clock.take(now, a.ClockMs)
 	f.takeRunning(now, w, a)
 	f.takeEnded(now, w, a)
 	f.settleMissing(w, a)
--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -38,15 +38,16 @@
 	w := f.worker(a.Worker)
 	run := &Run{Run: a.Run, Phase: RunOrdered, Checkpoint: t.Checkpoint, Pace: FullPace, sentAt: now}
 	w.runs[a.Ref] = run
-	if !w.known || w.Born != a.Born {
-		// The life that was meant is gone and got no order.
+	leaseEnd := f.extend(now, w)
+	if !w.known || w.Born != a.Born || leaseEnd == 0 {
+		// The life that was meant is gone, or no lease can be granted to it: it gets no order.
 		f.neverRan(w, a.Born, a.Ref, run)
 		return
 	}
 	w.lastOrder = now
 	f.call(Start{
 		Target: f.target(w), Ref: a.Ref, Run: a.Run, Spec: j.Spec, Checkpoint: t.Checkpoint,
-		LeaseEndMs: f.extend(now, w), Timeout: f.terms.OrderTimeout,
+		LeaseEndMs: leaseEnd, Timeout: f.terms.OrderTimeout,
 	})
 	f.tend(now, w)
 }
@@ -75,12 +76,12 @@
 	switch a.Verdict {
 	case Accepted:
 		w.HeardAt = now
-		f.sampleClock(now, w, a.ClockMs)
+		w.clock.take(now, a.ClockMs)
 		if run.Phase == RunOrdered {
 			run.Phase, run.settledAt = RunGoingOn, now
 		}
 	case Refused:
-		f.sampleClock(now, w, a.ClockMs)
+		w.clock.take(now, a.ClockMs)
 		f.startRefused(now, w, a, run)
 	case OtherLife:
 		f.replace(now, w)
