A leader that its group may have replaced sends no orders

A leader that was frozen or cut off handles answers of workers before it learns of the next term, and each answer may send a look that renews the lease or a start. A worker that the new leader does not reach, and that therefore has not seen the higher token, runs on past the time by which the new leader has counted every earlier lease as ended.

Evidence: TestDeposedLeaderRenewsNoLease failed before (one look with a lease 4 s ahead, 3 s after another replica led).

Change: whatever the leader's view of workers asks for is held back until the group confirms the leader, and dropped when it does not. Until then no other replica can have taken over, so that a lease granted later than a take-over cannot be.

--- /dev/null
+++ b/core/tbcontrol/deposed_test.go
@@ -0,0 +1,55 @@
+package tbcontrol_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"tamarackbarrow/core/tbcontrol"
+	"tamarackbarrow/core/tbfleet"
+)
+
+// A leader is frozen, another one takes over, and the first one handles answers of workers
+// before it learns so. The new leader counts leases from its take-over; one that is renewed
+// later would let a task run twice.
+func TestDeposedLeaderRenewsNoLease(t *testing.T) {
+	g := runningJob(t)
+	old := g.leader()
+	old.cut = true
+	g.run(3 * time.Second)
+	qt.Assert(t, g.leader(), qt.IsNotNil)
+	old.orders = nil
+	g.step(old, tbcontrol.LookAnswered{Answer: tbfleet.LookAnswered{
+		Worker: "w", Born: 1, ActualBorn: 1, SentAt: g.now, Verdict: tbfleet.Accepted, ClockMs: 3000,
+	}})
+	qt.Check(t, old.orders, qt.HasLen, 0)
+}
+
+// A leader that hears nothing for a moment holds its orders back, and sends them once its
+// group confirms it again. It checks its quorum once in an election timeout, so that it
+// depends on the moment whether it goes on leading.
+func TestLeaderThatIsConfirmedAgainSendsWhatItHeldBack(t *testing.T) {
+	tried := false
+	for offset := time.Duration(0); offset < 600*time.Millisecond && !tried; offset += 50 * time.Millisecond {
+		g := runningJob(t)
+		r := g.leader()
+		g.run(offset)
+		r.deaf = true
+		for r.control.Leads(g.now) {
+			g.run(10 * time.Millisecond)
+		}
+		r.orders = nil
+		g.step(r, tbcontrol.LookAnswered{Answer: tbfleet.LookAnswered{
+			Worker: "w", Born: 1, ActualBorn: 1, SentAt: g.now, Verdict: tbfleet.Accepted, ClockMs: 3000,
+		}})
+		qt.Check(t, r.orders, qt.HasLen, 0)
+		r.deaf = false
+		g.run(100 * time.Millisecond)
+		if g.leader() == r {
+			tried = true
+			qt.Check(t, len(r.orders) > 0, qt.IsTrue)
+		}
+	}
+	qt.Check(t, tried, qt.IsTrue)
+}
--- a/core/tbcontrol/flow.go
+++ b/core/tbcontrol/flow.go
@@ -319,14 +319,14 @@
 }
 
 // takeFleetOutput turns what the fleet asks for into effects and proposals.
+//
+// A leader that its group may have replaced holds everything back: the next one counts
+// leases from its own take-over, and workers that it does not reach would believe both.
 func (c *Control) takeFleetOutput(now time.Time) {
-	if c.lead == nil {
+	if !c.Leads(now) {
 		return
 	}
 	out := c.lead.flow.fleet.Take()
-	if len(out.Calls) > 0 && !c.Leads(now) {
-		c.emit(Log{Message: "orders of an unconfirmed leader", Args: []any{"orders", len(out.Calls), "term", c.replica.Term()}})
-	}
 	for _, call := range out.Calls {
 		c.emit(CallWorker{Call: call})
 	}
--- a/core/tbcontrol/group_test.go
+++ b/core/tbcontrol/group_test.go
@@ -31,8 +31,12 @@
 	disk    *disk
 	control *tbcontrol.Control
 	answers map[uint64]tbcontrol.AnswerQuestion
+	// orders are the calls to workers that the replica made.
+	orders []tbfleet.Call
 	// cut is true while nothing reaches the replica and nothing leaves it.
 	cut bool
+	// deaf is true while nothing reaches the replica, though what it sends arrives.
+	deaf bool
 }
 
 // group runs replicas in memory: messages take one step and disks save at once.
@@ -97,6 +101,8 @@
 			}
 		case tbcontrol.AnswerQuestion:
 			r.answers[e.Request] = e
+		case tbcontrol.CallWorker:
+			r.orders = append(r.orders, e.Call)
 		}
 	}
 }
@@ -131,7 +137,7 @@
 		g.mail = nil
 		for _, m := range mail {
 			for _, r := range g.replicas {
-				if r.id == m.To && !r.cut {
+				if r.id == m.To && !r.cut && !r.deaf {
 					g.step(r, tbcontrol.MessagesArrived{Messages: []tbconsensus.Message{m}})
 				}
 			}
