Answers to orders of an earlier term settle nothing

What callers would see: a task runs twice. A leader that is deposed and elected again builds a new view of the workers, and the answers to orders of its first term still reach it. A look of the first term that lists no such run counted as proof that a start of that term will never be carried out, although only a look with the new term's token fences that start off.

Evidence: TestAnswerToAnOrderOfAnEarlierTermSettlesNothing; without the check the task is started a second time.

Change: an order carries the term in which it was made, its answer brings it back, and only the leader of that term takes it.

--- a/core/tbcontrol/control.go
+++ b/core/tbcontrol/control.go
@@ -111,8 +111,19 @@
 		c.onMemberChange(now, ev)
 	case QuestionArrived:
 		c.onQuestion(now, ev)
-	case StartAnswered, StopAnswered, LookAnswered:
-		c.onWorkerAnswer(now, ev)
+	case StartAnswered:
+		if c.rules(ev.Term) {
+			c.lead.flow.fleet.StartAnswered(now, ev.Answer)
+			c.lead.flow.paceStarted(c, now, ev.Answer)
+		}
+	case StopAnswered:
+		if c.rules(ev.Term) {
+			c.lead.flow.fleet.StopAnswered(now, ev.Answer)
+		}
+	case LookAnswered:
+		if c.rules(ev.Term) {
+			c.onLook(now, ev.Answer)
+		}
 	case BatchEnded:
 		c.planFlow(now)
 		c.takeFleetOutput(now)
@@ -130,21 +141,11 @@
 	return effects
 }
 
-// onWorkerAnswer takes a worker's answer; a replica that no longer leads has no use for it.
-func (c *Control) onWorkerAnswer(now time.Time, ev Event) {
-	if c.lead == nil {
-		return
-	}
-	switch ev := ev.(type) {
-	case StartAnswered:
-		c.lead.flow.fleet.StartAnswered(now, ev.Answer)
-		c.lead.flow.paceStarted(c, now, ev.Answer)
-	case StopAnswered:
-		c.lead.flow.fleet.StopAnswered(now, ev.Answer)
-	case LookAnswered:
-		c.onLook(now, ev.Answer)
-	}
-}
+// rules reports whether this replica still acts as the leader of a term.
+//
+// An answer to an order of an earlier term proves nothing in a later one: the worker may
+// carry out other orders of that term that the later token does not fence off yet.
+func (c *Control) rules(term uint64) bool { return c.lead != nil && c.replica.Term() == term }
 
 func (c *Control) emit(e Effect) { c.effects = append(c.effects, e) }
 
--- a/core/tbcontrol/deposed_test.go
+++ b/core/tbcontrol/deposed_test.go
@@ -8,6 +8,7 @@
 
 	"tamarackbarrow/core/tbcontrol"
 	"tamarackbarrow/core/tbfleet"
+	"tamarackbarrow/core/tbflow"
 )
 
 // A leader is frozen, another one takes over, and the first one handles answers of workers
@@ -20,7 +21,7 @@
 	g.run(3 * time.Second)
 	qt.Assert(t, g.leader(), qt.IsNotNil)
 	old.orders = nil
-	g.step(old, tbcontrol.LookAnswered{Answer: tbfleet.LookAnswered{
+	g.step(old, tbcontrol.LookAnswered{Term: old.control.Replica().Term(), Answer: tbfleet.LookAnswered{
 		Worker: "w", Born: 1, ActualBorn: 1, SentAt: g.now, Verdict: tbfleet.Accepted, ClockMs: 3000,
 	}})
 	qt.Check(t, old.orders, qt.HasLen, 0)
@@ -40,7 +41,7 @@
 			g.run(10 * time.Millisecond)
 		}
 		r.orders = nil
-		g.step(r, tbcontrol.LookAnswered{Answer: tbfleet.LookAnswered{
+		g.step(r, tbcontrol.LookAnswered{Term: r.control.Replica().Term(), Answer: tbfleet.LookAnswered{
 			Worker: "w", Born: 1, ActualBorn: 1, SentAt: g.now, Verdict: tbfleet.Accepted, ClockMs: 3000,
 		}})
 		qt.Check(t, r.orders, qt.HasLen, 0)
@@ -53,3 +54,30 @@
 	}
 	qt.Check(t, tried, qt.IsTrue)
 }
+
+// A leader is deposed and elected again while a look of its first term is under way. The
+// answer must not settle a run whose start, of that term too, may still be carried out: the
+// worker has not seen the token of the new term.
+func TestAnswerToAnOrderOfAnEarlierTermSettlesNothing(t *testing.T) {
+	g := runningJob(t)
+	first := g.leader()
+	g.run(100 * time.Millisecond)
+	first.cut = true
+	g.run(3 * time.Second)
+	r := g.leader()
+	qt.Assert(t, r, qt.IsNotNil)
+	answer := tbfleet.LookAnswered{Worker: "w", Born: 1, ActualBorn: 1, SentAt: g.now, Verdict: tbfleet.Accepted, ClockMs: 3000}
+	phase := func() tbflow.TaskPhase { return r.control.State().Flow.Jobs["j"].Tasks[0][0][0].Phase }
+	run := func() uint64 { return r.control.State().Flow.Jobs["j"].Tasks[0][0][0].Run }
+	before := run()
+	qt.Assert(t, phase(), qt.Equals, tbflow.TaskAssigned)
+
+	g.step(r, tbcontrol.LookAnswered{Answer: answer, Term: first.control.Replica().Term()})
+	g.run(200 * time.Millisecond)
+	qt.Check(t, phase(), qt.Equals, tbflow.TaskAssigned)
+	qt.Check(t, run(), qt.Equals, before)
+
+	g.step(r, tbcontrol.LookAnswered{Answer: answer, Term: r.control.Replica().Term()})
+	g.run(200 * time.Millisecond)
+	qt.Check(t, run(), qt.Equals, before+1)
+}
--- a/core/tbcontrol/flow.go
+++ b/core/tbcontrol/flow.go
@@ -328,7 +328,7 @@
 	}
 	out := c.lead.flow.fleet.Take()
 	for _, call := range out.Calls {
-		c.emit(CallWorker{Call: call})
+		c.emit(CallWorker{Call: call, Term: c.replica.Term()})
 	}
 	for _, command := range out.Commands {
 		c.proposeFlow(command)
--- a/core/tbcontrol/question.go
+++ b/core/tbcontrol/question.go
@@ -105,11 +105,20 @@
 	Question Question
 }
 
-// StartAnswered, StopAnswered and LookAnswered bring a worker's answer to an order.
+// StartAnswered, StopAnswered and LookAnswered bring a worker's answer to an order of a term.
 type (
-	StartAnswered struct{ Answer tbfleet.StartAnswered }
-	StopAnswered  struct{ Answer tbfleet.StopAnswered }
-	LookAnswered  struct{ Answer tbfleet.LookAnswered }
+	StartAnswered struct {
+		Answer tbfleet.StartAnswered
+		Term   uint64
+	}
+	StopAnswered struct {
+		Answer tbfleet.StopAnswered
+		Term   uint64
+	}
+	LookAnswered struct {
+		Answer tbfleet.LookAnswered
+		Term   uint64
+	}
 )
 
 func (QuestionArrived) isEvent() {}
@@ -125,8 +134,11 @@
 	Answer    Answer
 }
 
-// CallWorker sends an order to a worker; its answer comes back as an event.
-type CallWorker struct{ Call tbfleet.Call }
+// CallWorker sends an order to a worker; its answer comes back as an event with the same term.
+type CallWorker struct {
+	Call tbfleet.Call
+	Term uint64
+}
 
 func (AnswerQuestion) isEffect() {}
 func (CallWorker) isEffect()     {}
--- a/core/tbcontrol/reads_test.go
+++ b/core/tbcontrol/reads_test.go
@@ -46,7 +46,7 @@
 	r, request := g.state()
 	_, answered := r.answers[request]
 	qt.Check(t, answered, qt.IsFalse)
-	g.step(r, tbcontrol.LookAnswered{Answer: tbfleet.LookAnswered{
+	g.step(r, tbcontrol.LookAnswered{Term: r.control.Replica().Term(), Answer: tbfleet.LookAnswered{
 		Worker: "w", Born: 1, ActualBorn: 1, SentAt: g.now, Verdict: tbfleet.Accepted, ClockMs: 10,
 		Ended: []tbfleet.EndReport{{Number: 1, Ref: tbflow.TaskRef{Job: "j"}, Run: 1, Kind: tbflow.EndDone}},
 	}})
--- a/io/tbdaemon/adapter.go
+++ b/io/tbdaemon/adapter.go
@@ -32,24 +32,24 @@
 func (d *Daemon) Metrics() http.Handler { return d.counters }
 
 // callWorker sends an order and brings back its answer.
-func (d *Daemon) callWorker(c tbfleet.Call) {
+func (d *Daemon) callWorker(order tbcontrol.CallWorker) {
 	if d.adapter == nil {
 		return
 	}
 	var ev tbcontrol.Event
 	began := time.Now()
 	name := latencyWorkerStart
-	switch c := c.(type) {
+	switch c := order.Call.(type) {
 	case tbfleet.Start:
-		ev = tbcontrol.StartAnswered{Answer: d.adapter.Start(d.ctx, c)}
+		ev = tbcontrol.StartAnswered{Answer: d.adapter.Start(d.ctx, c), Term: order.Term}
 	case tbfleet.Stop:
 		name = latencyWorkerStop
-		ev = tbcontrol.StopAnswered{Answer: d.adapter.Stop(d.ctx, c)}
+		ev = tbcontrol.StopAnswered{Answer: d.adapter.Stop(d.ctx, c), Term: order.Term}
 	case tbfleet.Look:
 		sent := d.clock.Now()
 		a := d.adapter.Look(d.ctx, c)
 		a.SentAt = sent
-		ev = tbcontrol.LookAnswered{Answer: a}
+		ev = tbcontrol.LookAnswered{Answer: a, Term: order.Term}
 		name = latencyWorkerLook
 	case tbfleet.Pace:
 		d.adapter.Pace(d.ctx, c)
--- a/io/tbdaemon/effects.go
+++ b/io/tbdaemon/effects.go
@@ -101,7 +101,7 @@
 	case tbcontrol.AnswerQuestion:
 		d.reply(e.Request, e)
 	case tbcontrol.CallWorker:
-		go d.callWorker(e.Call)
+		go d.callWorker(e)
 	case tbcontrol.Log:
 		d.logDecision(e)
 	default:
