A worker that was forgotten is not fenced off when it comes back

What users would see: a worker that restarted under its id and was then cut off for more than 15 s gets no tasks any more until the next change of leader; it refuses every order as fenced.

Cause: the part of the fencing token that counts a worker's lives was forgotten with the worker, so that the next orders to the same life carried a lower token than it had seen.

Evidence: TestWorkerThatWasForgottenIsNotFencedOffWhenItComesBack failed before.

Change: restarts are counted for the whole fleet, and a worker that is heard for the first time, or again, starts from the count at that moment.

--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -13,6 +13,8 @@
 	terms   Terms
 	token   uint64
 	workers map[string]*Worker
+	// lives counts the restarts of workers under their ids that this leader saw.
+	lives uint64
 	// failing names the worker on which each failing job failed first.
 	failing map[string]string
 	out     Output
@@ -37,7 +39,8 @@
 	// replaced is true once another worker has the address: it refuses orders that name this
 	// one, and an id that was replaced does not come back.
 	replaced bool
-	// lives counts the restarts under the same id that this leader saw.
+	// lives is the fleet's count of lives at this life's first order; it never falls, also
+	// when the worker was forgotten in between.
 	lives uint64
 	// lastOrder is when the last start was ordered from any life.
 	lastOrder time.Time
@@ -104,8 +107,8 @@
 	RunEnding
 )
 
-// livesBits is the part of a token that counts the lives of a worker under one leader.
-const livesBits = 16
+// livesBits is the part of a token that counts the lives of workers under one leader.
+const livesBits = 20
 
 // FullPace is the pace of a run at its start, in percent.
 const FullPace = 100
@@ -151,7 +154,7 @@
 func (f *Fleet) worker(id string) *Worker {
 	w := f.workers[id]
 	if w == nil {
-		w = &Worker{Report: Report{ID: id}, runs: map[tbflow.TaskRef]*Run{}}
+		w = &Worker{Report: Report{ID: id}, lives: f.lives, runs: map[tbflow.TaskRef]*Run{}}
 		f.workers[id] = w
 	}
 	return w
@@ -323,8 +326,9 @@
 		f.out.Commands = append(f.out.Commands, tbflow.NoteEnds{Worker: w.ID, Born: w.Born, Ends: gone})
 		f.out.Notes = append(f.out.Notes, Note{What: "worker restarted", Worker: w.ID, Detail: "its earlier runs have ended"})
 	}
+	f.lives++
 	*w = Worker{
-		Report: r, runs: kept, HeardAt: now, lives: w.lives + 1, lastOrder: w.lastOrder,
+		Report: r, runs: kept, HeardAt: now, lives: f.lives, lastOrder: w.lastOrder,
 		fence: now.Sub(w.lastOrder) < f.terms.LongestDelay,
 	}
 }
--- a/core/tbfleet/takeover_test.go
+++ b/core/tbfleet/takeover_test.go
@@ -111,3 +111,49 @@
 		qt.Check(t, running, qt.IsFalse, qt.Commentf("the look is carried out %v after it was sent; the lease ends %d ms later", late, o.worker.leaseEnd-o.worker.clock(o.now)))
 	}
 }
+
+// A worker restarts under its id, is cut off until it is forgotten, and comes back in the
+// same life. Orders must carry a token as high as the one that it has seen; otherwise it
+// refuses all of them.
+func TestWorkerThatWasForgottenIsNotFencedOffWhenItComesBack(t *testing.T) {
+	o := newTakeOver()
+	o.fleet = tbfleet.New(terms, 2)
+	first := newFakeWorker("w", o.now, 1)
+	o.fleet.Heard(o.now, tbfleet.Report{ID: "w", Address: "a:1", Born: first.born, Class: "c", ClockMs: 1000, Sequence: 1})
+	o.now = o.now.Add(time.Second)
+	second := newFakeWorker("w", o.now, 1)
+	r := tbfleet.Report{ID: "w", Address: "a:1", Born: second.born, Class: "c", ClockMs: 1000, Sequence: 1}
+	o.fleet.Heard(o.now, r)
+	second.token = o.token()
+	for range 20 {
+		o.looks(time.Second)
+	}
+	qt.Assert(t, o.fleet.Worker("w"), qt.IsNil)
+	r.Sequence = 30
+	o.fleet.Heard(o.now, r)
+	qt.Check(t, o.token() >= second.token, qt.IsTrue)
+}
+
+// token starts a task and returns the token of the order.
+func (o *takeOver) token() uint64 {
+	w := o.fleet.Worker("w")
+	j := o.state.Jobs["j"]
+	run := j.Task(o.ref).Run
+	if j.Task(o.ref).Phase == tbflow.TaskAssigned {
+		o.apply(tbflow.NoteEnds{Worker: "w", Born: j.Task(o.ref).Born, Ends: []tbflow.End{{Ref: o.ref, Run: run, Kind: tbflow.EndStopped}}})
+	}
+	o.apply(tbflow.Assign{Runs: []tbflow.Assignment{{Ref: o.ref, Run: run + 1, Worker: "w", Born: w.Born}}})
+	var token uint64
+	for _, c := range o.fleet.Take().Calls {
+		if s, ok := c.(tbfleet.Start); ok {
+			token = s.Target.Token
+		}
+	}
+	o.apply(tbflow.NoteEnds{Worker: "w", Born: w.Born, Ends: []tbflow.End{{Ref: o.ref, Run: run + 1, Kind: tbflow.EndStopped}}})
+	return token
+}
+
+func (o *takeOver) apply(c tbflow.Command) {
+	o.state.Apply(o.now.UnixMilli(), c)
+	o.fleet.Applied(o.now, o.state, c)
+}
