--- a/core/tbcontrol/flow.go
+++ b/core/tbcontrol/flow.go
@@ -319,13 +319,16 @@
 }
 
 // takeFleetOutput turns what the fleet asks for into effects and proposals.
-func (c *Control) takeFleetOutput() {
-	if c.lead == nil {
+//
+// A leader that its group may have replaced holds everything back: the next one counts
+// leases from its own take-over, and workers that it does not reach would believe both.
+func (c *Control) takeFleetOutput(now time.Time) {
+	if !c.Leads(now) {
 		return
 	}
 	out := c.lead.flow.fleet.Take()
 	for _, call := range out.Calls {
-		c.emit(CallWorker{Call: call})
+		c.emit(CallWorker{Call: call, Term: c.replica.Term()})
 	}
 	for _, command := range out.Commands {
 		c.proposeFlow(command)
