Fence off orders of an earlier life whenever an id comes back

What users would see: two runs of one task, or one that starts again after its noted end, when a worker starts again under its id while an order to the life before is still under way.

Cause: three gaps in the same fence. A worker that signed off was dropped, and the next life under its id got the same token. A restart more than 12 s after the last start was not fenced off, though looks follow starts as long as anything runs. And a look that the new life carried out before it was fenced off renews its lease for as long as the worker allows, 2 s more than the leader reckons.

Change: dropping a worker counts as the end of a life and is remembered while its orders may be under way; each life after another one gets tasks only once a look was answered, and from that look its lease is reckoned at its longest.

--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -15,6 +15,8 @@
 	workers map[string]*Worker
 	// lives counts the restarts of workers under their ids that this leader saw.
 	lives uint64
+	// droppedAt is when a worker was dropped whose orders may still be under way.
+	droppedAt map[string]time.Time
 	// failing names the worker on which each failing job failed first.
 	failing map[string]string
 	out     Output
@@ -42,8 +44,6 @@
 	// lives is the fleet's count of lives at this life's first order; it never falls, also
 	// when the worker was forgotten in between.
 	lives uint64
-	// lastOrder is when the last start was ordered from any life.
-	lastOrder time.Time
 	// fence is true until a look has fenced off orders that were meant for an earlier life.
 	fence bool
 	// clock is the newest reading of the worker's clock.
@@ -115,7 +115,7 @@
 
 // New returns a fleet for a leader whose token is higher than that of any earlier one.
 func New(terms Terms, token uint64) *Fleet {
-	return &Fleet{terms: terms, token: token, workers: map[string]*Worker{}, failing: map[string]string{}}
+	return &Fleet{terms: terms, token: token, workers: map[string]*Worker{}, droppedAt: map[string]time.Time{}, failing: map[string]string{}}
 }
 
 // TakeOver notes the runs that an earlier leader ordered.
@@ -123,7 +123,6 @@
 	for id, r := range s.Workers {
 		w := f.worker(id)
 		w.Born, w.seen, w.proposed, w.Draining = r.Born, r.Seen, r.Seen, r.Draining
-		w.lastOrder = now
 		if r.Address != "" {
 			w.Address, w.Class, w.DataCentre, w.Rack = r.Address, r.Class, r.DataCentre, r.Rack
 			w.Labels, w.Capacity = r.Labels, r.Capacity
@@ -155,11 +154,19 @@
 	w := f.workers[id]
 	if w == nil {
 		w = &Worker{Report: Report{ID: id}, lives: f.lives, runs: map[tbflow.TaskRef]*Run{}}
+		_, w.fence = f.droppedAt[id]
 		f.workers[id] = w
 	}
 	return w
 }
 
+// drop forgets a worker; a life that comes back under its id counts as a later one.
+func (f *Fleet) drop(now time.Time, w *Worker) {
+	delete(f.workers, w.ID)
+	f.droppedAt[w.ID] = now
+	f.lives++
+}
+
 // Take returns what has to be done since the last call and clears it.
 func (f *Fleet) Take() Output {
 	out := f.out
@@ -193,10 +200,15 @@
 func (f *Fleet) forgetSilent(now time.Time) {
 	for id, w := range f.workers {
 		if len(w.runs) == 0 && w.noted >= w.seen && now.Sub(w.HeardAt) > forgetAfter {
-			delete(f.workers, id)
+			f.drop(now, w)
 			f.out.Commands = append(f.out.Commands, tbflow.ForgetWorker{Worker: id, Born: w.Born})
 		}
 	}
+	for id, at := range f.droppedAt {
+		if now.Sub(at) > f.terms.LongestDelay {
+			delete(f.droppedAt, id)
+		}
+	}
 }
 
 // Usable reports whether the worker may get a new task now.
@@ -328,8 +340,7 @@
 	}
 	f.lives++
 	*w = Worker{
-		Report: r, runs: kept, HeardAt: now, lives: f.lives, lastOrder: w.lastOrder,
-		fence: now.Sub(w.lastOrder) < f.terms.LongestDelay,
+		Report: r, runs: kept, HeardAt: now, lives: f.lives, fence: true,
 	}
 }
 
--- a/core/tbfleet/look.go
+++ b/core/tbfleet/look.go
@@ -104,6 +104,11 @@
 	if w.Silent {
 		f.out.Notes = append(f.out.Notes, Note{What: "worker answers again", Worker: w.ID})
 	}
+	if w.fence {
+		// Until now an order of an earlier life could have renewed the lease of this one; its
+		// end, a time on another clock, would not have kept the lease short.
+		w.lapsesAt = maxTime(w.lapsesAt, now.Add(f.lapse(f.terms.LongestLease)))
+	}
 	w.Silent, w.adopted, w.fence = false, true, false
 	w.noted = max(w.noted, a.Seen)
 	w.HeardAt = now
--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -44,7 +44,6 @@
 		f.neverRan(w, a.Born, a.Ref, run)
 		return
 	}
-	w.lastOrder = now
 	f.call(Start{
 		Target: f.target(w), Ref: a.Ref, Run: a.Run, Spec: j.Spec, Checkpoint: t.Checkpoint,
 		LeaseEndMs: leaseEnd, Timeout: f.terms.OrderTimeout,
@@ -221,7 +220,7 @@
 		}
 	}
 	if !w.known && len(w.runs) == 0 {
-		delete(f.workers, id)
+		f.drop(now, w)
 		return
 	}
 	f.tend(now, w)
