--- a/core/tbfleet/leader_fake_test.go
+++ b/core/tbfleet/leader_fake_test.go
@@ -173,15 +173,6 @@
 	if l.assigning {
 		return
 	}
-	var usable []*tbfleet.Worker
-	for _, v := range l.fleet.Workers() {
-		if l.fleet.Usable(v, w.now) {
-			usable = append(usable, v)
-		}
-	}
-	if len(usable) == 0 {
-		return
-	}
 	var runs []tbflow.Assignment
 	for _, j := range w.state.Active() {
 		if strings.HasPrefix(j.ID, probe) {
@@ -189,15 +180,28 @@
 		}
 		j.EachTask(func(ref tbflow.TaskRef, t *tbflow.Task) {
 			if t.Phase == tbflow.TaskWaiting && j.StepReady(ref.Occurrence, ref.Step) {
-				v := usable[w.rng.IntN(len(usable))]
-				runs = append(runs, tbflow.Assignment{Ref: ref, Run: t.Run + 1, Worker: v.ID, Born: v.Born})
+				runs = append(runs, tbflow.Assignment{Ref: ref, Run: t.Run + 1})
 			}
 		})
 	}
-	if len(runs) > 0 {
-		l.assigning = true
-		w.propose(tbflow.Assign{Runs: runs})
+	if len(runs) == 0 {
+		return
+	}
+	var usable []*tbfleet.Worker
+	for _, v := range l.fleet.Workers() {
+		if l.fleet.Usable(v, w.now) {
+			usable = append(usable, v)
+		}
+	}
+	if len(usable) == 0 {
+		return
+	}
+	for i := range runs {
+		v := usable[w.rng.IntN(len(usable))]
+		runs[i].Worker, runs[i].Born = v.ID, v.Born
 	}
+	l.assigning = true
+	w.propose(tbflow.Assign{Runs: runs})
 }
 
 // carryOut sends the leader's orders and proposes its commands.
