A worker that may have restarted is not told to forget ends

What users would see: a task is started again although it has ended as done. A worker crashes behind a cut and starts again under its id; the new life carries out a late start and lists its end as number 1. The next look still named the last recorded end of the life before, so that the new life forgot its own end unread.

Change: the number goes only to a worker that answered this leader's last look; any other is first asked which life it is. What is left: a look that names a number and is itself carried out late by the next life, together with a late start that ends there.

--- a/core/tbfleet/look.go
+++ b/core/tbfleet/look.go
@@ -47,7 +47,11 @@
 	if w.looking || now.Before(w.retryAt) || w.proposed > w.seen {
 		return
 	}
-	look := Look{Target: f.target(w), Seen: w.seen, Timeout: f.terms.OrderTimeout}
+	look := Look{Target: f.target(w), Timeout: f.terms.OrderTimeout}
+	if w.adopted && !w.Silent {
+		// Another life would forget ends of its own by the numbers of this one's.
+		look.Seen = w.seen
+	}
 	settled := w.adopted && !w.Silent && !w.hasDoubt()
 	if len(w.runs) > 0 && !w.Silent {
 		look.LeaseEndMs = f.extend(now, w)
