Wait for late orders from the last one that renews a lease

What users would see: a task runs on two workers for up to 2.7 s. A start and, seconds later, a look are not answered and reach the worker's next life late; the clock there starts anew, so that the look renews the lease for as long as the worker allows. The leader counted only from the start when it gave the run up.

Change: a start without an answer is settled a longest delay and a longest lease after the last order to that worker that could renew its lease.

--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -48,6 +48,8 @@
 	fence bool
 	// clock is the newest reading of the worker's clock.
 	clock clockReading
+	// grantedAt is when this leader last sent an order that renews the lease, to whichever life.
+	grantedAt time.Time
 	// leaseEnd is the end of the lease that was ordered last, on the worker's clock.
 	leaseEnd int64
 	// lapsesAt is when every lease has surely ended that any leader granted, on the leader's clock.
@@ -282,7 +284,7 @@
 func (f *Fleet) lose(now time.Time, w *Worker, why string) {
 	c := tbflow.NoteEnds{Worker: w.ID, Born: w.Born}
 	for ref, r := range w.runs {
-		if r.Phase == RunEnding || r.born != 0 || !w.replaced && r.uncertain() && now.Before(f.settledBy(r)) {
+		if r.Phase == RunEnding || r.born != 0 || !w.replaced && r.uncertain() && now.Before(f.settledBy(w, r)) {
 			continue
 		}
 		r.Phase = RunEnding
@@ -293,7 +295,7 @@
 		f.out.Notes = append(f.out.Notes, Note{What: "worker lost", Worker: w.ID, Detail: why, Inputs: w.leaseInputs(now)})
 	}
 	for ref, r := range w.runs {
-		if r.born != 0 && r.Phase != RunEnding && now.After(f.settledBy(r)) {
+		if r.born != 0 && r.Phase != RunEnding && now.After(f.settledBy(w, r)) {
 			f.neverRan(w, r.born, ref, r)
 		}
 	}
@@ -307,11 +309,13 @@
 }
 
 // settledBy is when an order can have no effect any more, also on a worker that nobody reaches.
-func (f *Fleet) settledBy(r *Run) time.Time {
+//
+// A later life that carries the start out late also renews its lease by late orders.
+func (f *Fleet) settledBy(w *Worker, r *Run) time.Time {
 	if r.Phase == RunGoingOn {
 		return r.settledAt.Add(f.lapse(f.terms.LongestLease))
 	}
-	return r.sentAt.Add(f.terms.LongestDelay + f.lapse(f.terms.LongestLease))
+	return maxTime(r.sentAt, w.grantedAt).Add(f.terms.LongestDelay + f.lapse(f.terms.LongestLease))
 }
 
 // reborn handles a new life under the same id: whatever ran before has ended.
@@ -340,7 +344,7 @@
 	}
 	f.lives++
 	*w = Worker{
-		Report: r, runs: kept, HeardAt: now, lives: f.lives, fence: true,
+		Report: r, runs: kept, HeardAt: now, lives: f.lives, fence: true, grantedAt: w.grantedAt,
 	}
 }
 
@@ -354,6 +358,7 @@
 	if !ok {
 		return 0
 	}
+	w.grantedAt = now
 	w.leaseEnd = clockMs + f.terms.Lease.Milliseconds()
 	w.lapsesAt = maxTime(w.lapsesAt, now.Add(f.lapse(f.terms.Lease)))
 	return w.leaseEnd
