A late sign-off does not end a worker's next life

What users would see: a worker drains, signs off and starts again under its id; the message is late, or the instance that took it asks the leader again, and the runs of the new life are given up while they go on: they start elsewhere (TWICE).

Change: the message names an id and no life, so that it counts only for a worker that drains, as each one does before it signs off.

--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -257,8 +257,10 @@
 }
 
 // Left notes that a worker has ended after it drained.
+//
+// The message does not name the life; one that does not drain came to life afterwards.
 func (f *Fleet) Left(now time.Time, id string) {
-	if w := f.workers[id]; w != nil {
+	if w := f.workers[id]; w != nil && w.Draining {
 		f.ended(now, w, "it signed off")
 	}
 }
--- a/core/tbfleet/lives_test.go
+++ b/core/tbfleet/lives_test.go
@@ -38,6 +38,14 @@
 	return fw
 }
 
+// signOff lets a life drain and end.
+func (o *twoLives) signOff(fw *fakeWorker) {
+	o.fleet.Heard(o.now, tbfleet.Report{
+		ID: "w", Address: "a:1", Born: fw.born, Class: "c", ClockMs: fw.clock(o.now), Sequence: 2, Draining: true,
+	})
+	o.fleet.Left(o.now, "w")
+}
+
 // assign lets the leader order a run from the present life.
 func (o *twoLives) assign() {
 	o.runs++
@@ -103,7 +111,7 @@
 	late := lateLook(t, orders)
 
 	o.now = o.now.Add(time.Second)
-	o.fleet.Left(o.now, "w")
+	o.signOff(first)
 	o.obey(first)
 	qt.Assert(t, o.fleet.Worker("w"), qt.IsNil)
 	o.now = o.now.Add(time.Second)
@@ -122,7 +130,7 @@
 func TestLookOfAnEarlierLifeDoesNotOutlastTheLeadersReckoning(t *testing.T) {
 	for name, again := range map[string]func(*twoLives, *fakeWorker){
 		"crash":    func(*twoLives, *fakeWorker) {},
-		"sign-off": func(o *twoLives, fw *fakeWorker) { o.fleet.Left(o.now, "w"); o.obey(fw) },
+		"sign-off": func(o *twoLives, fw *fakeWorker) { o.signOff(fw); o.obey(fw) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			o := newTwoLives()
--- a/core/tbfleet/replaced_test.go
+++ b/core/tbfleet/replaced_test.go
@@ -78,6 +78,9 @@
 // way, so that the start is kept until nothing can be.
 func TestStartIsKeptWhileItsWorkerMayComeBack(t *testing.T) {
 	f, _, now := doubtful(t)
+	draining := report("old", now)
+	draining.Draining, draining.Sequence = true, 2
+	qt.Assert(t, f.Heard(now, draining), qt.IsTrue)
 	f.Left(now.Add(time.Second), "old")
 	qt.Check(t, givenUp(f), qt.IsFalse)
 	for at := now; at.Before(now.Add(17 * time.Second)); at = at.Add(time.Second) {
