Allow for leaders' clocks that disagree when a start's age is taken from the state

What users would see: TWICE after two changes of leader, where the one between had its time of day ahead: the next one takes the difference of the state's times for a start's age and gives the start up by that much too early.

Change: 5 s are taken off the age, the bound that the users' contract has for clocks that jump.

--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -120,6 +120,9 @@
 	return &Fleet{terms: terms, token: token, workers: map[string]*Worker{}, droppedAt: map[string]time.Time{}, failing: map[string]string{}}
 }
 
+// clockDisagreement bounds how far the times of day of two leaders are apart, steps included.
+const clockDisagreement = 5 * time.Second
+
 // TakeOver notes the runs that an earlier leader ordered.
 func (f *Fleet) TakeOver(now time.Time, s *tbflow.State) {
 	for id, r := range s.Workers {
@@ -137,7 +140,7 @@
 		w := f.worker(id)
 		w.lapsesAt = now.Add(f.lapse(f.terms.LongestLease))
 		s.EachRun(id, func(ref tbflow.TaskRef, t *tbflow.Task) {
-			age := time.Duration(s.NowMs-t.AssignedMs) * time.Millisecond
+			age := max(0, time.Duration(s.NowMs-t.AssignedMs)*time.Millisecond-clockDisagreement)
 			run := &Run{Run: t.Run, Checkpoint: t.Checkpoint, Pace: FullPace, sentAt: now.Add(-age)}
 			if t.Born < w.Born {
 				run.Phase, run.born = RunDoubtful, t.Born
