--- a/core/tbcontrol/writer_test.go
+++ b/core/tbcontrol/writer_test.go
@@ -36,10 +36,11 @@
 // leader takes it for a restart of w and gives its run up.
 func TestReportOfUnknownClassIsNoRestart(t *testing.T) {
 	g := runningJob(t)
-	g.step(g.leader(), tbcontrol.StartAnswered{Answer: tbfleet.StartAnswered{
+	term := g.leader().control.Replica().Term()
+	g.step(g.leader(), tbcontrol.StartAnswered{Term: term, Answer: tbfleet.StartAnswered{
 		Worker: "w", Born: 1, Ref: tbflow.TaskRef{Job: "j"}, Run: 1, Verdict: tbfleet.Accepted, ClockMs: 5,
 	}})
-	g.step(g.leader(), tbcontrol.LookAnswered{Answer: tbfleet.LookAnswered{
+	g.step(g.leader(), tbcontrol.LookAnswered{Term: term, Answer: tbfleet.LookAnswered{
 		Worker: "w", Born: 1, ActualBorn: 1, SentAt: g.now, Verdict: tbfleet.Accepted, ClockMs: 10,
 		Running: []tbfleet.RunReport{{Ref: tbflow.TaskRef{Job: "j"}, Run: 1}},
 	}})
