Reports of classes that no configuration has name no worker; draining is acknowledged once committed

What users would see: a report of another writer, with a class that no configuration has, gave up the runs of the worker whose address it names, or passed for a restart of the one whose id it has: its tasks started elsewhere while they went on (TWICE). And a worker that reports twice that it drains, because the first answer was lost, was told that this is known before it was committed; after a change of leader tasks started there (DRAIN).

Change: such a report is passed over with a log line, unless the same life was recorded with that class before it left the configuration; an outdated report that drains waits for the commit like the first.

--- a/core/tbcontrol/flow.go
+++ b/core/tbcontrol/flow.go
@@ -169,19 +169,33 @@
 }
 
 // onWorkerReported takes a report; that a worker drains is committed before it is acknowledged.
+//
+// A report of a class that no configuration in force has names no worker of ours, and says
+// nothing about the one whose id or address it uses.
 func (c *Control) onWorkerReported(now time.Time, ev QuestionArrived, r tbfleet.Report) {
-	if !c.lead.flow.fleet.Heard(now, r) {
+	known := c.state.Flow.Workers[r.ID]
+	ours := known != nil && known.Born == r.Born && known.Class == r.Class
+	if cfg := &c.state.Flow.Config; cfg.Version > 0 && !cfg.HasClass(r.Class) && !ours {
+		c.emit(Log{Message: "report of an unknown class", Args: []any{
+			"worker", r.ID, "class", r.Class, "address", r.Address, "version", cfg.Version,
+		}})
 		c.answer(ev.Request, Answer{Code: Outdated})
 		return
 	}
-	known := c.state.Flow.Workers[r.ID]
-	if known == nil || known.Born < r.Born || known.Address != r.Address || known.Capacity != r.Capacity {
+	// A report that was already taken may not be recorded yet.
+	unrecorded := r.Draining && (known == nil || known.Born < r.Born || known.Born == r.Born && !known.Draining)
+	heard := c.lead.flow.fleet.Heard(now, r)
+	if !heard && !unrecorded {
+		c.answer(ev.Request, Answer{Code: Outdated})
+		return
+	}
+	if heard && (known == nil || known.Born < r.Born || known.Address != r.Address || known.Capacity != r.Capacity) {
 		c.proposeFlow(tbflow.NoteWorker{
 			Worker: r.ID, Born: r.Born, Address: r.Address, Class: r.Class, DataCentre: r.DataCentre,
 			Rack: r.Rack, Labels: r.Labels, Capacity: r.Capacity,
 		})
 	}
-	if r.Draining && (known == nil || known.Born < r.Born || !known.Draining) {
+	if unrecorded {
 		c.commitFlow(ev, tbflow.NoteDraining{Worker: r.ID, Born: r.Born})
 		return
 	}
--- a/core/tbflow/config.go
+++ b/core/tbflow/config.go
@@ -1,6 +1,7 @@
 package tbflow
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -62,6 +63,12 @@
 	return best
 }
 
+// HasClass reports whether a worker class is listed or some queue uses it.
+func (c *Config) HasClass(name string) bool {
+	return slices.ContainsFunc(c.Classes, func(w WorkerClass) bool { return w.Name == name }) ||
+		slices.ContainsFunc(c.Queues, func(q Queue) bool { return q.WorkerClass == name })
+}
+
 // Queue returns the queue of a key, or nil.
 func (c *Config) Queue(key QueueKey) *Queue {
 	for i := range c.Queues {
