--- a/core/tbfleet/faults_fake_test.go
+++ b/core/tbfleet/faults_fake_test.go
@@ -183,17 +183,24 @@
 	})
 }
 
-// leave ends a life that drained; its last word reaches the leader unless it is lost.
+// leave ends a life that drained; its last word may be lost, late, or come twice.
 func (w *world) leave(fw *fakeWorker) {
 	if w.hosts[fw.address] != fw {
 		return
 	}
 	w.note("%s/%d leaves", fw.id, fw.born)
 	w.end(fw)
-	delay := w.trip(slowAnswer)
-	if !w.cutFrom(fw.address, w.leader).answers && (!w.faults || w.rng.Float64() >= lostShare) {
+	for range 1 + w.rng.IntN(2) {
+		delay := w.trip(slowAnswer)
+		switch {
+		case w.faults && w.rng.Float64() < lateShare:
+			delay = w.between(0, latestReport)
+		case w.cutFrom(fw.address, w.leader).answers, w.faults && w.rng.Float64() < lostShare:
+			continue
+		}
 		w.after(delay, func() {
 			if w.confirmed(w.leader) {
+				w.note("%s signs off", fw.id)
 				w.leader.fleet.Left(w.now, fw.id)
 			}
 		})
--- a/core/tbfleet/leader_fake_test.go
+++ b/core/tbfleet/leader_fake_test.go
@@ -19,12 +19,17 @@
 	// Without its quorum until quorumAt, it is not confirmed from unsureFrom on.
 	unsureFrom time.Time
 	quorumAt   time.Time
+	// ahead is how far its time of day is ahead of the others'.
+	ahead time.Duration
 	// assigning is true while a plan is proposed and not yet applied.
 	assigning bool
 	// gone is true once it is down or knows that another one leads.
 	gone bool
 }
 
+// clockStep is how far the time of day of a leader's machine may be off.
+const clockStep = 2 * time.Second
+
 // proposal is a command that a leader wants to commit.
 type proposal struct {
 	c  tbflow.Command
@@ -42,7 +47,7 @@
 func (w *world) lead() {
 	survive := w.rng.IntN(len(w.pending) + 1)
 	for _, p := range w.pending[:survive] {
-		w.state.Apply(w.now.UnixMilli(), p.c)
+		w.state.Apply(p.at.Add(w.leader.ahead).UnixMilli(), p.c)
 	}
 	w.pending = nil
 	if old := w.leader; old != nil && !old.gone {
@@ -54,6 +59,9 @@
 	}
 	w.term++
 	w.leader = &leader{term: w.term, fleet: tbfleet.New(terms, w.term)}
+	if w.rng.IntN(3) == 0 {
+		w.leader.ahead = w.between(-clockStep, clockStep)
+	}
 	w.note("leader of term %d takes over, %d of the proposals are committed", w.term, survive)
 	w.leader.fleet.TakeOver(w.now, w.state)
 	for _, id := range w.jobs {
@@ -92,9 +100,9 @@
 		return
 	}
 	for len(w.pending) > 0 && w.now.Sub(w.pending[0].at) >= commitTime {
-		c := w.pending[0].c
+		c, at := w.pending[0].c, w.pending[0].at
 		w.pending = w.pending[1:]
-		w.state.Apply(w.now.UnixMilli(), c)
+		w.state.Apply(at.Add(w.leader.ahead).UnixMilli(), c)
 		w.leader.fleet.Applied(w.now, w.state, c)
 		w.applied(c)
 	}
--- a/core/tbfleet/network_fake_test.go
+++ b/core/tbfleet/network_fake_test.go
@@ -217,14 +217,15 @@
 
 // heard lets the leader take a report and record what is new in it.
 func (w *world) heard(r tbfleet.Report) {
-	if !w.confirmed(w.leader) || !w.leader.fleet.Heard(w.now, r) {
+	if !w.confirmed(w.leader) {
 		return
 	}
 	known := w.state.Workers[r.ID]
-	if known == nil || known.Born < r.Born || known.Address != r.Address {
+	unrecorded := r.Draining && (known == nil || known.Born < r.Born || known.Born == r.Born && !known.Draining)
+	if w.leader.fleet.Heard(w.now, r) && (known == nil || known.Born < r.Born || known.Address != r.Address) {
 		w.propose(tbflow.NoteWorker{Worker: r.ID, Born: r.Born, Address: r.Address, Class: r.Class})
 	}
-	if r.Draining && (known == nil || known.Born < r.Born || !known.Draining) {
+	if unrecorded {
 		w.propose(tbflow.NoteDraining{Worker: r.ID, Born: r.Born})
 	}
 }
