A job whose starts never took effect is pending again

Cause: a job counted as begun with its first assignment. Where orders are left unanswered, a start is settled as never run, and the job went on counting as begun while it had no run.

Evidence: TestJobWhoseStartsNeverTookEffectIsPendingAgain failed before.

Change: a job has started once a run is known to have taken effect; without one, and without an order under way, it is queued again.

--- a/core/tbflow/job.go
+++ b/core/tbflow/job.go
@@ -120,7 +120,8 @@
 	StartAtMs  int64
 	IntervalMs int64
 	Phase      Phase
-	Started    bool
+	// Started is true once a run is known to have taken effect.
+	Started bool
 	// SubmittedMs and EndedMs are the state's times, in milliseconds since 1970.
 	SubmittedMs int64
 	EndedMs     int64
@@ -169,6 +170,13 @@
 	return true
 }
 
+// assigned reports whether a run of any task is ordered or going on.
+func (j *Job) assigned() bool {
+	found := false
+	j.EachTask(func(_ TaskRef, t *Task) { found = found || t.Phase == TaskAssigned })
+	return found
+}
+
 // EachTask calls visit for each task in order.
 func (j *Job) EachTask(visit func(ref TaskRef, t *Task)) {
 	for k := range j.Tasks {
--- a/core/tbflow/state.go
+++ b/core/tbflow/state.go
@@ -275,8 +275,7 @@
 	t.Phase = TaskAssigned
 	t.Run, t.Worker, t.Born, t.AssignedMs = a.Run, a.Worker, a.Born, s.NowMs
 	s.place(j, a.Ref, t)
-	if !j.Started {
-		j.Started = true
+	if j.Phase == Queued {
 		j.Phase = Running
 	}
 	return OK
@@ -352,6 +351,10 @@
 	}
 	step := &j.Steps[e.Ref.Step]
 	s.unplace(j, e.Ref, t)
+	j.Started = j.Started || e.Kind != EndNeverRan
+	if j.Phase == Running && !j.Started && !j.assigned() {
+		j.Phase = Queued
+	}
 	if e.Checkpoint != "" && !step.Lasting {
 		t.Checkpoint = e.Checkpoint
 	}
--- a/core/tbflow/state_test.go
+++ b/core/tbflow/state_test.go
@@ -235,3 +235,25 @@
 	qt.Check(t, j.Tasks[0][2][0].WaitingMs, qt.Equals, f.NowMs)
 	qt.Check(t, j.Tasks[0][3][0].WaitingMs, qt.Equals, submitted)
 }
+
+// The starts of a job were not answered and never took effect. The job waits as before;
+// counted as begun, the queue seems empty while callers' jobs wait in it.
+func TestJobWhoseStartsNeverTookEffectIsPendingAgain(t *testing.T) {
+	f := newFixture(t)
+	j := f.submit("a", step(2))
+	f.assign(ref("a", 0, 0), 1, "w")
+	f.assign(ref("a", 0, 1), 1, "w")
+	qt.Check(t, f.Pending(queueKey), qt.Equals, 0)
+	f.end(ref("a", 0, 0), 1, "w", tbflow.EndNeverRan, "")
+	qt.Check(t, f.Pending(queueKey), qt.Equals, 0)
+	f.end(ref("a", 0, 1), 1, "w", tbflow.EndNeverRan, "")
+	qt.Check(t, f.Pending(queueKey), qt.Equals, 1)
+	qt.Check(t, j.Phase, qt.Equals, tbflow.Queued)
+
+	f.assign(ref("a", 0, 0), 2, "w")
+	f.end(ref("a", 0, 0), 2, "w", tbflow.EndStopped, "")
+	f.assign(ref("a", 0, 0), 3, "w")
+	f.end(ref("a", 0, 0), 3, "w", tbflow.EndNeverRan, "")
+	qt.Check(t, f.Pending(queueKey), qt.Equals, 0)
+	qt.Check(t, j.Phase, qt.Equals, tbflow.Running)
+}
