--- a/core/tbfleet/restarted_test.go
+++ b/core/tbfleet/restarted_test.go
@@ -176,3 +176,27 @@
 	qt.Check(t, o.task("j").Phase, qt.Equals, tbflow.TaskAssigned)
 	qt.Check(t, o.worker.running, qt.HasLen, 1)
 }
+
+// A worker drains with a run, signs off, and is forgotten once the run's end is recorded. A
+// report from before it drained arrives late: it is taken though newer ones were known, and
+// the worker looks usable, while the state refuses every run on it.
+func TestLateReportDoesNotBringADrainedWorkerBack(t *testing.T) {
+	o := newOneWorker()
+	late := o.fleet.Worker("w").Report
+	o.heard()
+	o.worker.startRun(o.now, o.submit("j", false), time.Hour)
+	o.pass(time.Second, true)
+	draining := o.fleet.Worker("w").Report
+	draining.Draining = true
+	draining.Sequence++
+	qt.Assert(t, o.fleet.Heard(o.now, draining), qt.IsTrue)
+	o.apply(tbflow.NoteDraining{Worker: "w", Born: draining.Born})
+	o.worker.running = map[tbflow.TaskRef]*fakeRun{}
+	o.fleet.Left(o.now, "w")
+	for _, c := range o.take() {
+		o.apply(c)
+	}
+	o.fleet.Heard(o.now, late)
+	w := o.fleet.Worker("w")
+	qt.Check(t, w != nil && o.fleet.Usable(w, o.now), qt.IsFalse)
+}
