--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -15,6 +15,8 @@
 	workers map[string]*Worker
 	// lives counts the restarts of workers under their ids that this leader saw.
 	lives uint64
+	// droppedAt is when a worker was dropped whose orders may still be under way.
+	droppedAt map[string]time.Time
 	// failing names the worker on which each failing job failed first.
 	failing map[string]string
 	out     Output
@@ -42,12 +44,12 @@
 	// lives is the fleet's count of lives at this life's first order; it never falls, also
 	// when the worker was forgotten in between.
 	lives uint64
-	// lastOrder is when the last start was ordered from any life.
-	lastOrder time.Time
 	// fence is true until a look has fenced off orders that were meant for an earlier life.
 	fence bool
 	// clock is the newest reading of the worker's clock.
 	clock clockReading
+	// grantedAt is when this leader last sent an order that renews the lease, to whichever life.
+	grantedAt time.Time
 	// leaseEnd is the end of the lease that was ordered last, on the worker's clock.
 	leaseEnd int64
 	// lapsesAt is when every lease has surely ended that any leader granted, on the leader's clock.
@@ -115,15 +117,17 @@
 
 // New returns a fleet for a leader whose token is higher than that of any earlier one.
 func New(terms Terms, token uint64) *Fleet {
-	return &Fleet{terms: terms, token: token, workers: map[string]*Worker{}, failing: map[string]string{}}
+	return &Fleet{terms: terms, token: token, workers: map[string]*Worker{}, droppedAt: map[string]time.Time{}, failing: map[string]string{}}
 }
 
+// clockDisagreement bounds how far the times of day of two leaders are apart, steps included.
+const clockDisagreement = 5 * time.Second
+
 // TakeOver notes the runs that an earlier leader ordered.
 func (f *Fleet) TakeOver(now time.Time, s *tbflow.State) {
 	for id, r := range s.Workers {
 		w := f.worker(id)
 		w.Born, w.seen, w.proposed, w.Draining = r.Born, r.Seen, r.Seen, r.Draining
-		w.lastOrder = now
 		if r.Address != "" {
 			w.Address, w.Class, w.DataCentre, w.Rack = r.Address, r.Class, r.DataCentre, r.Rack
 			w.Labels, w.Capacity = r.Labels, r.Capacity
@@ -136,7 +140,7 @@
 		w := f.worker(id)
 		w.lapsesAt = now.Add(f.lapse(f.terms.LongestLease))
 		s.EachRun(id, func(ref tbflow.TaskRef, t *tbflow.Task) {
-			age := time.Duration(s.NowMs-t.AssignedMs) * time.Millisecond
+			age := max(0, time.Duration(s.NowMs-t.AssignedMs)*time.Millisecond-clockDisagreement)
 			run := &Run{Run: t.Run, Checkpoint: t.Checkpoint, Pace: FullPace, sentAt: now.Add(-age)}
 			if t.Born < w.Born {
 				run.Phase, run.born = RunDoubtful, t.Born
@@ -155,11 +159,19 @@
 	w := f.workers[id]
 	if w == nil {
 		w = &Worker{Report: Report{ID: id}, lives: f.lives, runs: map[tbflow.TaskRef]*Run{}}
+		_, w.fence = f.droppedAt[id]
 		f.workers[id] = w
 	}
 	return w
 }
 
+// drop forgets a worker; a life that comes back under its id counts as a later one.
+func (f *Fleet) drop(now time.Time, w *Worker) {
+	delete(f.workers, w.ID)
+	f.droppedAt[w.ID] = now
+	f.lives++
+}
+
 // Take returns what has to be done since the last call and clears it.
 func (f *Fleet) Take() Output {
 	out := f.out
@@ -193,10 +205,15 @@
 func (f *Fleet) forgetSilent(now time.Time) {
 	for id, w := range f.workers {
 		if len(w.runs) == 0 && w.noted >= w.seen && now.Sub(w.HeardAt) > forgetAfter {
-			delete(f.workers, id)
+			f.drop(now, w)
 			f.out.Commands = append(f.out.Commands, tbflow.ForgetWorker{Worker: id, Born: w.Born})
 		}
 	}
+	for id, at := range f.droppedAt {
+		if now.Sub(at) > f.terms.LongestDelay {
+			delete(f.droppedAt, id)
+		}
+	}
 }
 
 // Usable reports whether the worker may get a new task now.
@@ -243,8 +260,10 @@
 }
 
 // Left notes that a worker has ended after it drained.
+//
+// The message does not name the life; one that does not drain came to life afterwards.
 func (f *Fleet) Left(now time.Time, id string) {
-	if w := f.workers[id]; w != nil {
+	if w := f.workers[id]; w != nil && w.Draining {
 		f.ended(now, w, "it signed off")
 	}
 }
@@ -270,7 +289,7 @@
 func (f *Fleet) lose(now time.Time, w *Worker, why string) {
 	c := tbflow.NoteEnds{Worker: w.ID, Born: w.Born}
 	for ref, r := range w.runs {
-		if r.Phase == RunEnding || r.born != 0 || !w.replaced && r.uncertain() && now.Before(f.settledBy(r)) {
+		if r.Phase == RunEnding || r.born != 0 || !w.replaced && r.uncertain() && now.Before(f.settledBy(w, r)) {
 			continue
 		}
 		r.Phase = RunEnding
@@ -281,7 +300,7 @@
 		f.out.Notes = append(f.out.Notes, Note{What: "worker lost", Worker: w.ID, Detail: why, Inputs: w.leaseInputs(now)})
 	}
 	for ref, r := range w.runs {
-		if r.born != 0 && r.Phase != RunEnding && now.After(f.settledBy(r)) {
+		if r.born != 0 && r.Phase != RunEnding && now.After(f.settledBy(w, r)) {
 			f.neverRan(w, r.born, ref, r)
 		}
 	}
@@ -295,11 +314,13 @@
 }
 
 // settledBy is when an order can have no effect any more, also on a worker that nobody reaches.
-func (f *Fleet) settledBy(r *Run) time.Time {
+//
+// A later life that carries the start out late also renews its lease by late orders.
+func (f *Fleet) settledBy(w *Worker, r *Run) time.Time {
 	if r.Phase == RunGoingOn {
 		return r.settledAt.Add(f.lapse(f.terms.LongestLease))
 	}
-	return r.sentAt.Add(f.terms.LongestDelay + f.lapse(f.terms.LongestLease))
+	return maxTime(r.sentAt, w.grantedAt).Add(f.terms.LongestDelay + f.lapse(f.terms.LongestLease))
 }
 
 // reborn handles a new life under the same id: whatever ran before has ended.
@@ -328,8 +349,7 @@
 	}
 	f.lives++
 	*w = Worker{
-		Report: r, runs: kept, HeardAt: now, lives: f.lives, lastOrder: w.lastOrder,
-		fence: now.Sub(w.lastOrder) < f.terms.LongestDelay,
+		Report: r, runs: kept, HeardAt: now, lives: f.lives, fence: true, grantedAt: w.grantedAt,
 	}
 }
 
@@ -343,6 +363,7 @@
 	if !ok {
 		return 0
 	}
+	w.grantedAt = now
 	w.leaseEnd = clockMs + f.terms.Lease.Milliseconds()
 	w.lapsesAt = maxTime(w.lapsesAt, now.Add(f.lapse(f.terms.Lease)))
 	return w.leaseEnd
--- a/core/tbfleet/look.go
+++ b/core/tbfleet/look.go
@@ -47,7 +47,11 @@
 	if w.looking || now.Before(w.retryAt) || w.proposed > w.seen {
 		return
 	}
-	look := Look{Target: f.target(w), Seen: w.seen, Timeout: f.terms.OrderTimeout}
+	look := Look{Target: f.target(w), Timeout: f.terms.OrderTimeout}
+	if w.adopted && !w.Silent {
+		// Another life would forget ends of its own by the numbers of this one's.
+		look.Seen = w.seen
+	}
 	settled := w.adopted && !w.Silent && !w.hasDoubt()
 	if len(w.runs) > 0 && !w.Silent {
 		look.LeaseEndMs = f.extend(now, w)
@@ -104,6 +108,11 @@
 	if w.Silent {
 		f.out.Notes = append(f.out.Notes, Note{What: "worker answers again", Worker: w.ID})
 	}
+	if w.fence {
+		// Until now an order of an earlier life could have renewed the lease of this one; its
+		// end, a time on another clock, would not have kept the lease short.
+		w.lapsesAt = maxTime(w.lapsesAt, now.Add(f.lapse(f.terms.LongestLease)))
+	}
 	w.Silent, w.adopted, w.fence = false, true, false
 	w.noted = max(w.noted, a.Seen)
 	w.HeardAt = now
