A late look keeps a run that an unknown life accepted: failing test

What users would see: TWICE after a worker started again under its id, accepted a start before its first report, and was cut off.

--- a/core/tbfleet/restarted_test.go
+++ b/core/tbfleet/restarted_test.go
@@ -200,3 +200,26 @@
 	w := o.fleet.Worker("w")
 	qt.Check(t, w != nil && o.fleet.Usable(w, o.now), qt.IsFalse)
 }
+
+// A worker starts again under its id while a look that renews its lease is under way; the
+// new life, of which the leader does not know yet, accepts a start and is cut off. The late
+// look, whose end is on the earlier life's clock, then keeps the run past the leader's wait.
+func TestLateLookDoesNotOutlastTheWaitForAnAcceptedStart(t *testing.T) {
+	o := newOneWorker()
+	o.worker.startRun(o.now, o.submit("first", true), time.Hour)
+	o.pass(time.Second, true)
+	look := o.renewal
+	qt.Assert(t, look.LeaseEndMs > 0, qt.IsTrue)
+	o.worker = newFakeWorker("w", o.now, 0.98)
+	o.now = o.now.Add(200 * time.Millisecond)
+	startedAt := o.now
+	a := o.worker.startRun(o.now, o.submit("j", true), time.Hour)
+	qt.Assert(t, a.Verdict, qt.Equals, tbfleet.Accepted)
+	o.fleet.StartAnswered(o.now, a)
+	o.pass(5*time.Second, false)
+	o.worker.look(o.now, look)
+	for o.task("j").Phase == tbflow.TaskAssigned && o.now.Before(startedAt.Add(time.Minute)) {
+		o.pass(step, false)
+	}
+	qt.Check(t, o.worker.running, qt.HasLen, 0, qt.Commentf("given up %v after the start was accepted", o.now.Sub(startedAt)))
+}
