--- a/core/tbfleet/restarted_test.go
+++ b/core/tbfleet/restarted_test.go
@@ -176,3 +176,50 @@
 	qt.Check(t, o.task("j").Phase, qt.Equals, tbflow.TaskAssigned)
 	qt.Check(t, o.worker.running, qt.HasLen, 1)
 }
+
+// A worker drains with a run, signs off, and is forgotten once the run's end is recorded. A
+// report from before it drained arrives late: it is taken though newer ones were known, and
+// the worker looks usable, while the state refuses every run on it.
+func TestLateReportDoesNotBringADrainedWorkerBack(t *testing.T) {
+	o := newOneWorker()
+	late := o.fleet.Worker("w").Report
+	o.heard()
+	o.worker.startRun(o.now, o.submit("j", false), time.Hour)
+	o.pass(time.Second, true)
+	draining := o.fleet.Worker("w").Report
+	draining.Draining = true
+	draining.Sequence++
+	qt.Assert(t, o.fleet.Heard(o.now, draining), qt.IsTrue)
+	o.apply(tbflow.NoteDraining{Worker: "w", Born: draining.Born})
+	o.worker.running = map[tbflow.TaskRef]*fakeRun{}
+	o.fleet.Left(o.now, "w")
+	for _, c := range o.take() {
+		o.apply(c)
+	}
+	o.fleet.Heard(o.now, late)
+	w := o.fleet.Worker("w")
+	qt.Check(t, w != nil && o.fleet.Usable(w, o.now), qt.IsFalse)
+}
+
+// A worker starts again under its id while a look that renews its lease is under way; the
+// new life, of which the leader does not know yet, accepts a start and is cut off. The late
+// look, whose end is on the earlier life's clock, then keeps the run past the leader's wait.
+func TestLateLookDoesNotOutlastTheWaitForAnAcceptedStart(t *testing.T) {
+	o := newOneWorker()
+	o.worker.startRun(o.now, o.submit("first", true), time.Hour)
+	o.pass(time.Second, true)
+	look := o.renewal
+	qt.Assert(t, look.LeaseEndMs > 0, qt.IsTrue)
+	o.worker = newFakeWorker("w", o.now, 0.98)
+	o.now = o.now.Add(200 * time.Millisecond)
+	startedAt := o.now
+	a := o.worker.startRun(o.now, o.submit("j", true), time.Hour)
+	qt.Assert(t, a.Verdict, qt.Equals, tbfleet.Accepted)
+	o.fleet.StartAnswered(o.now, a)
+	o.pass(5*time.Second, false)
+	o.worker.look(o.now, look)
+	for o.task("j").Phase == tbflow.TaskAssigned && o.now.Before(startedAt.Add(time.Minute)) {
+		o.pass(step, false)
+	}
+	qt.Check(t, o.worker.running, qt.HasLen, 0, qt.Commentf("given up %v after the start was accepted", o.now.Sub(startedAt)))
+}
