A worker that signed off may run on until its lease has ended

What users would see: a draining worker signs off, the answer to that is lost, and it ends some seconds later; its runs were given up at once and started elsewhere (TWICE).

Change: a sign-off ends the renewals of the lease and nothing else.

--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -261,24 +261,21 @@
 
 // Left notes that a worker has ended after it drained.
 //
-// The message does not name the life; one that does not drain came to life afterwards.
+// The message does not name the life; one that does not drain came to life afterwards. A
+// worker that is not answered runs on for a while, so that its lease has to end first.
 func (f *Fleet) Left(now time.Time, id string) {
 	if w := f.workers[id]; w != nil && w.Draining {
-		f.ended(now, w, "it signed off")
+		f.out.Notes = append(f.out.Notes, Note{What: "worker signs off", Worker: id, Inputs: w.leaseInputs(now)})
+		w.known = false
+		f.tend(now, w)
 	}
 }
 
 // replace gives up all runs of a worker whose address another one has.
 func (f *Fleet) replace(now time.Time, w *Worker) {
-	w.replaced = true
-	f.ended(now, w, "another worker answers at its address")
-}
-
-// ended gives up all runs of a life that has surely ended.
-func (f *Fleet) ended(now time.Time, w *Worker, why string) {
-	w.known = false
+	w.replaced, w.known = true, false
 	w.lapsesAt = now
-	f.lose(now, w, why)
+	f.lose(now, w, "another worker answers at its address")
 }
 
 // lose gives up the runs of a worker whose lease has ended.
--- a/core/tbfleet/restarted_test.go
+++ b/core/tbfleet/restarted_test.go
@@ -223,3 +223,21 @@
 	}
 	qt.Check(t, o.worker.running, qt.HasLen, 0, qt.Commentf("given up %v after the start was accepted", o.now.Sub(startedAt)))
 }
+
+// A worker that drains signs off, the answer is lost, and it ends some seconds later. Its run
+// must not start elsewhere meanwhile.
+func TestWorkerThatSignedOffMayRunOnUntilItsLeaseHasEnded(t *testing.T) {
+	o := newOneWorker()
+	start := o.submit("j", true)
+	o.fleet.StartAnswered(o.now, o.worker.startRun(o.now, start, time.Hour))
+	o.pass(time.Second, true)
+	o.worker.sequence++
+	o.fleet.Heard(o.now, tbfleet.Report{
+		ID: "w", Address: "a:1", Born: o.worker.born, Class: "c", ClockMs: o.worker.clock(o.now), Sequence: o.worker.sequence, Draining: true,
+	})
+	o.fleet.Left(o.now, "w")
+	for o.task("j").Phase == tbflow.TaskAssigned {
+		o.pass(step, false)
+	}
+	qt.Check(t, o.worker.running, qt.HasLen, 0)
+}
