Count the time that an order is held back as delay

An order that waits until its leader is confirmed again is sent later than it was made, by up to two election timeouts. The wait for orders without an answer counts from the making, so that the longest delay has to cover both.

--- a/io/tbdaemon/config.go
+++ b/io/tbdaemon/config.go
@@ -74,7 +74,7 @@
 		Share:     tbshare.Policy{BaseWeight: 2, Tolerance: 0.1},
 		Placement: placement,
 		Fleet: tbfleet.Terms{
-			Lease: s.Workers.Lease, LongestLease: s.Workers.LongestLease, LongestDelay: s.Workers.LongestDelay, ClockRateBound: s.Workers.ClockRateBound,
+			Lease: s.Workers.Lease, LongestLease: s.Workers.LongestLease, LongestDelay: s.Workers.LongestDelay + longestHold(s), ClockRateBound: s.Workers.ClockRateBound,
 			LookWait: s.Workers.LookWait, OrderTimeout: s.Workers.OrderTimeout,
 			HeartbeatSilence: s.Workers.HeartbeatSilence, RetryPause: workerRetryPause,
 		},
@@ -93,3 +93,7 @@
 
 // equalShareWeight makes any measured demand vanish beside it.
 const equalShareWeight = 1e9
+
+// longestHold is how long an order may be held back by a leader that is not confirmed: it
+// checks its quorum once in an election timeout.
+func longestHold(s tbsettings.Settings) time.Duration { return 2 * s.Times.ElectionTimeout }
