Bound what is under way to a replica that catches up

Cause: a returning replica was sent all that it lacks in batches of 1 MB, more than one of them in a delivery. A busy leader delivers about 2.5 MB a second, a delivery is cut off after 300 ms and is lost whole, with the heartbeats in it; then it was sent again from the start. The known position of the replica stayed where it was for as long as the leader was busy. After a fault that leaves one replica with the newest entries nothing is committed unless its backlog happens to pass.

Change: at most 256 KB are under way to one replica without an answer, in batches of 64 KB, and a delivery takes no more messages from 192 KB on. The random schedules run with the bound as well.

--- a/core/tbconsensus/log.go
+++ b/core/tbconsensus/log.go
@@ -45,9 +45,20 @@
 	return l.entries[lo-first-1 : hi-first : hi-first]
 }
 
-// batch returns entries from lo on, up to maxBytes of data but at least one.
+// bytes returns the size of the data from lo to hi, both included, as far as the log holds it.
+func (l *entryLog) bytes(lo, hi uint64) int {
+	lo = max(lo, l.snapshot.Meta.Index+1)
+	hi = min(hi, l.lastIndex())
+	size := 0
+	for i := lo; i <= hi; i++ {
+		size += len(l.entries[i-l.snapshot.Meta.Index-1].Data)
+	}
+	return size
+}
+
+// batch returns entries from lo on, up to maxBytes of data but at least one where any may be sent.
 func (l *entryLog) batch(lo uint64, maxBytes int) []Entry {
-	if lo > l.lastIndex() {
+	if lo > l.lastIndex() || maxBytes <= 0 {
 		return nil
 	}
 	all := l.slice(lo, l.lastIndex())
--- a/core/tbconsensus/replica.go
+++ b/core/tbconsensus/replica.go
@@ -9,11 +9,13 @@
 
 // peer is the leader's view of another replica.
 type peer struct {
-	match        uint64
-	next         uint64
-	active       time.Time
-	ackedRound   uint64
-	inFlight     bool
+	match      uint64
+	next       uint64
+	active     time.Time
+	ackedRound uint64
+	inFlight   bool
+	// flightFrom is the first entry under way while inFlight.
+	flightFrom   uint64
 	sentAt       time.Time
 	snapshotting bool
 	snapshotMeta SnapshotMeta
--- a/core/tbconsensus/replication.go
+++ b/core/tbconsensus/replication.go
@@ -125,7 +125,8 @@
 	}
 }
 
-// sendAppend sends what p lacks; batches follow each other without waiting for answers.
+// sendAppend sends what p lacks; batches follow each other without waiting for answers,
+// up to a bound on what is under way.
 //
 // A peer that has been silent for an election timeout gets heartbeats only: its answer
 // to one starts the sending again. Otherwise the whole backlog would be sent to a
@@ -139,16 +140,20 @@
 		return
 	}
 	if p.inFlight && now.Sub(p.sentAt) >= r.resendAfter() {
+		p.inFlight = false
 		p.next = p.match + 1
 	}
 	if p.next <= r.log.snapshot.Meta.Index {
 		r.startSnapshot(now, id, p)
 		return
 	}
-	entries := r.log.batch(p.next, r.cfg.MaxBatchBytes)
+	entries := r.log.batch(p.next, r.batchRoom(p))
 	if len(entries) == 0 {
 		return
 	}
+	if !p.inFlight {
+		p.flightFrom = p.next
+	}
 	prev := p.next - 1
 	r.send(Message{
 		Kind: MsgAppend, To: id,
@@ -160,6 +165,15 @@
 	p.sentAt = now
 }
 
+// batchRoom returns how many bytes may be sent to p now.
+func (r *Replica) batchRoom(p *peer) int {
+	if r.cfg.MaxInFlightBytes == 0 || !p.inFlight {
+		return r.cfg.MaxBatchBytes
+	}
+	underWay := r.log.bytes(max(p.flightFrom, p.match+1), p.next-1)
+	return min(r.cfg.MaxBatchBytes, r.cfg.MaxInFlightBytes-underWay)
+}
+
 func (r *Replica) followLeader(now time.Time, leader ReplicaID) {
 	if r.role != Follower {
 		r.role = Follower
--- a/core/tbconsensus/schedule_test.go
+++ b/core/tbconsensus/schedule_test.go
@@ -73,7 +73,7 @@
 func testConfig(id ReplicaID, seed uint64) Config {
 	return Config{
 		ID: id, ElectionTimeout: 1000 * time.Millisecond, HeartbeatInterval: 100 * time.Millisecond,
-		ClockRateBound: 0.01, MaxBatchBytes: 40, ChunkBytes: 16, Seed: seed,
+		ClockRateBound: 0.01, MaxBatchBytes: 40, MaxInFlightBytes: 80, ChunkBytes: 16, Seed: seed,
 	}
 }
 
--- a/core/tbconsensus/types.go
+++ b/core/tbconsensus/types.go
@@ -125,8 +125,10 @@
 	// ClockRateBound is the largest relative difference between two clocks.
 	ClockRateBound float64
 	MaxBatchBytes  int
-	ChunkBytes     int
-	Seed           uint64
+	// MaxInFlightBytes bounds the entries that are under way to one replica; 0 means no bound.
+	MaxInFlightBytes int
+	ChunkBytes       int
+	Seed             uint64
 	// Join is true for a replica that is added to a running group.
 	Join bool
 }
--- a/io/tbdaemon/config.go
+++ b/io/tbdaemon/config.go
@@ -20,7 +20,8 @@
 
 // Sizes and times that settings do not change.
 const (
-	maxAppendBytes   = 1 << 20
+	maxAppendBytes   = 64 << 10
+	maxInFlightBytes = 256 << 10
 	snapshotChunk    = 256 << 10
 	shareInterval    = 250 * time.Millisecond
 	planInterval     = 50 * time.Millisecond
@@ -63,8 +64,8 @@
 	cfg := tbcontrol.Config{
 		Consensus: tbconsensus.Config{
 			ID: s.ReplicaID, ElectionTimeout: s.Times.ElectionTimeout, HeartbeatInterval: s.Times.Heartbeat,
-			ClockRateBound: s.Times.ClockRateBound, MaxBatchBytes: maxAppendBytes, ChunkBytes: snapshotChunk,
-			Seed: seed, Join: s.Join,
+			ClockRateBound: s.Times.ClockRateBound, MaxBatchBytes: maxAppendBytes, MaxInFlightBytes: maxInFlightBytes,
+			ChunkBytes: snapshotChunk, Seed: seed, Join: s.Join,
 		},
 		EntryLease: entryLease(s.Times), TaskLease: taskLease(s.Times),
 		BackendSilence: s.Times.BackendSilence, DeliveryMargin: s.Times.DeliveryMargin,
--- a/io/tbdaemon/outbox.go
+++ b/io/tbdaemon/outbox.go
@@ -10,9 +10,11 @@
 
 // Limits of messages between replicas.
 const (
-	deliverWithin   = 300 * time.Millisecond
-	outboxSize      = 4096
-	maxDeliverBytes = 2 << 20
+	deliverWithin = 300 * time.Millisecond
+	outboxSize    = 4096
+	// maxDeliverBytes is the size from which a delivery takes no more messages: a larger one
+	// would run out of time beside a busy leader, and is lost whole.
+	maxDeliverBytes = 192 << 10
 )
 
 // outbox sends consensus messages to one address in order; it may lose them.
