Tell lost deliveries from late answers when a replica catches up

Cause: entries without an answer for two heartbeats (300 ms) were sent again.

Change: the daemon tells the control role which delivery failed, and the leader sends again at once; without such a word it waits for an election timeout.

--- a/core/tbconsensus/backlog_test.go
+++ b/core/tbconsensus/backlog_test.go
@@ -96,3 +96,74 @@
 	}
 	qt.Check(t, sent, qt.DeepEquals, []int{1})
 }
+
+// The answers of a replica wait behind the work of a busy leader. Taken for a loss, a third
+// of a second without one made the leader send most of a backlog more than once.
+func TestLateAnswersDoNotMakeTheLeaderSendTwice(t *testing.T) {
+	const step, answerAfter = 20 * time.Millisecond, 400 * time.Millisecond
+	cfg := Config{
+		ID: 1, ElectionTimeout: 900 * time.Millisecond, HeartbeatInterval: 150 * time.Millisecond,
+		MaxBatchBytes: 8000, MaxInFlightBytes: 32_000,
+	}
+	r, now := newTestLeader(t, cfg, time.Unix(1000, 0))
+	// One delivery is under way to replica 3 at a time; it takes all that waits.
+	var waiting, answers []Message
+	var answeredAt time.Time
+	proposed, sent := 0, 0
+	for i := range 1500 {
+		now = now.Add(step)
+		if i < 500 {
+			r.Propose(now, [][]byte{make([]byte, 1000)})
+			proposed += 1000
+		}
+		r.Tick(now)
+		if !now.Before(answeredAt) {
+			for _, m := range answers {
+				r.Step(now, m)
+			}
+			answers, waiting, answeredAt = waiting, nil, now.Add(answerAfter)
+		}
+		for _, m := range r.Take().Send {
+			reply := Message{Kind: MsgHeartbeatReply, From: m.To, To: 1, Term: 1, Round: m.Round}
+			if m.Kind == MsgAppend {
+				reply = Message{Kind: MsgAppendReply, From: m.To, To: 1, Term: 1, LogIndex: m.LogIndex + uint64(len(m.Entries))}
+			}
+			switch {
+			case m.To == 2:
+				r.Step(now, reply)
+			case i >= 100:
+				for _, e := range m.Entries {
+					sent += len(e.Data)
+				}
+				waiting = append(waiting, reply)
+			}
+		}
+	}
+	qt.Check(t, r.Peers()[1].Match, qt.Equals, r.LastIndex())
+	qt.Check(t, sent <= proposed+proposed/10, qt.IsTrue, qt.Commentf("%d bytes were sent for %d", sent, proposed))
+}
+
+func TestUndeliveredEntriesAreSentAgainWithTheNextHeartbeat(t *testing.T) {
+	cfg := Config{
+		ID: 1, ElectionTimeout: 900 * time.Millisecond, HeartbeatInterval: 150 * time.Millisecond,
+		MaxBatchBytes: 8000, MaxInFlightBytes: 32_000,
+	}
+	r, now := newTestLeader(t, cfg, time.Unix(1000, 0))
+	for _, m := range r.Take().Send {
+		if m.Kind == MsgAppend {
+			r.Step(now, Message{Kind: MsgAppendReply, From: m.To, To: 1, Term: 1, LogIndex: m.LogIndex + uint64(len(m.Entries))})
+		}
+	}
+	index, _ := r.Propose(now, [][]byte{make([]byte, 100)})
+	r.Take()
+	r.Undelivered(3)
+	now = now.Add(150 * time.Millisecond)
+	r.Step(now, Message{Kind: MsgHeartbeatReply, From: 3, To: 1, Term: 1, Round: r.round, Hint: index - 1})
+	var again []uint64
+	for _, m := range r.Take().Send {
+		if m.To == 3 && m.Kind == MsgAppend {
+			again = append(again, m.LogIndex+1)
+		}
+	}
+	qt.Check(t, again, qt.DeepEquals, []uint64{index})
+}
--- a/core/tbconsensus/replication.go
+++ b/core/tbconsensus/replication.go
@@ -6,7 +6,24 @@
 )
 
 // resendAfter bounds the wait for an answer before entries are sent again.
-func (r *Replica) resendAfter() time.Duration { return 2 * r.cfg.HeartbeatInterval }
+//
+// Undelivered reports what was lost earlier; an answer may also wait behind the work of a
+// busy leader, which would then send everything twice.
+func (r *Replica) resendAfter() time.Duration { return r.cfg.ElectionTimeout }
+
+// Undelivered tells that entries or a part of a snapshot did not reach a replica for sure;
+// they are sent again with the next occasion.
+func (r *Replica) Undelivered(id ReplicaID) {
+	p := r.peers[id]
+	if r.role != Leader || p == nil {
+		return
+	}
+	p.sentAt = time.Time{}
+	if p.inFlight {
+		p.inFlight = false
+		p.next = p.match + 1
+	}
+}
 
 func (r *Replica) tickLeader(now time.Time) {
 	if !now.Before(r.electionAt) {
--- a/core/tbcontrol/control.go
+++ b/core/tbcontrol/control.go
@@ -117,6 +117,8 @@
 		c.planFlow(now)
 		c.takeFleetOutput()
 		c.proposeWaiting(now)
+	case DeliveryFailed:
+		c.replica.Undelivered(ev.To)
 	case StopBegun:
 		c.replica.Transfer(now)
 	case StorageFailed:
--- a/core/tbcontrol/types.go
+++ b/core/tbcontrol/types.go
@@ -107,6 +107,9 @@
 // BatchEnded tells that no more events are at hand, so that waiting commands are proposed.
 type BatchEnded struct{}
 
+// DeliveryFailed tells that entries or parts of a snapshot may not have reached a replica.
+type DeliveryFailed struct{ To tbconsensus.ReplicaID }
+
 // StopBegun asks to hand over leadership.
 type StopBegun struct{}
 
@@ -122,6 +125,7 @@
 func (StatusQueried) isEvent()       {}
 func (MemberChangeArrived) isEvent() {}
 func (BatchEnded) isEvent()          {}
+func (DeliveryFailed) isEvent()      {}
 func (StopBegun) isEvent()           {}
 func (StorageFailed) isEvent()       {}
 
--- a/io/tbdaemon/outbox.go
+++ b/io/tbdaemon/outbox.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"tamarackbarrow/core/tbconsensus"
+	"tamarackbarrow/core/tbcontrol"
+	"tamarackbarrow/core/tbnode"
 	"tamarackbarrow/io/tbcodec"
 	pb "tamarackbarrow/io/tbproto/v1"
 )
@@ -72,11 +74,23 @@
 			if err != nil {
 				d.counters.add("peers.deliverFailed")
 				d.log.Debug("messages to replica lost", "address", address, "error", err)
+				d.noteUndelivered(batch)
 			}
 		}
 	}
 }
 
+// noteUndelivered tells the control role whose entries may be lost.
+func (d *Daemon) noteUndelivered(batch []*pb.ConsensusMessage) {
+	var told uint64
+	for _, m := range batch {
+		if messageBytes(m) > 0 && m.GetTo() != told {
+			told = m.GetTo()
+			d.push(tbnode.Event{Control: tbcontrol.DeliveryFailed{To: tbconsensus.ReplicaID(told)}})
+		}
+	}
+}
+
 // gather takes what is at hand, up to a bounded size.
 func gather(first *pb.ConsensusMessage, more <-chan *pb.ConsensusMessage) []*pb.ConsensusMessage {
 	batch := []*pb.ConsensusMessage{first}
