Give a delivery between replicas time by its size

What callers saw: nothing yet. A configuration of a thousand queues is one entry of about a megabyte; a trial shows deliveries of that size from a busy leader taking more than the fixed 300 ms, after which they are lost and sent again, with everything behind them.

Change: 300 ms and two seconds a megabyte.

--- a/io/tbdaemon/outbox.go
+++ b/io/tbdaemon/outbox.go
@@ -12,8 +12,11 @@
 
 // Limits of messages between replicas.
 const (
-	deliverWithin = 300 * time.Millisecond
-	outboxSize    = 4096
+	// deliverWithin and deliverBytesPerSecond bound the time of a delivery by its size; a
+	// configuration of a thousand queues is one entry of about a megabyte.
+	deliverWithin         = 300 * time.Millisecond
+	deliverBytesPerSecond = 512 << 10
+	outboxSize            = 4096
 	// maxDeliverBytes is the size from which a delivery takes no more messages: a larger one
 	// would run out of time beside a busy leader, and is lost whole.
 	maxDeliverBytes = 192 << 10
@@ -70,7 +73,7 @@
 			return
 		case first := <-o.messages:
 			batch := gather(first, o.messages)
-			err := d.peers.Deliver(d.ctx, address, deliverWithin, &pb.DeliverRequest{Messages: batch, FromAddress: d.settings.PeerAddress})
+			err := d.peers.Deliver(d.ctx, address, deliveryTime(batch), &pb.DeliverRequest{Messages: batch, FromAddress: d.settings.PeerAddress})
 			if err != nil {
 				d.counters.add("peers.deliverFailed")
 				d.log.Debug("messages to replica lost", "address", address, "error", err)
@@ -80,6 +83,15 @@
 	}
 }
 
+// deliveryTime bounds a delivery: an entry that is too large for a fixed time would never arrive.
+func deliveryTime(batch []*pb.ConsensusMessage) time.Duration {
+	size := 0
+	for _, m := range batch {
+		size += messageBytes(m)
+	}
+	return deliverWithin + time.Duration(size)*time.Second/deliverBytesPerSecond
+}
+
 // noteUndelivered tells the control role whose entries may be lost.
 func (d *Daemon) noteUndelivered(batch []*pb.ConsensusMessage) {
 	var told uint64
--- a/io/tbdaemon/outbox_test.go
+++ b/io/tbdaemon/outbox_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -26,3 +27,11 @@
 	qt.Check(t, size <= maxInFlightBytes, qt.IsTrue, qt.Commentf("%d bytes in one delivery", size))
 	qt.Check(t, len(batch)+len(more), qt.Equals, 41)
 }
+
+// A busy leader delivers about a megabyte a second. A configuration of that size was cut off
+// after 300 ms at every try, and nothing was committed behind it.
+func TestLargeEntryHasTimeToArrive(t *testing.T) {
+	large := deliveryTime([]*pb.ConsensusMessage{message(1 << 20)})
+	qt.Check(t, large >= time.Second, qt.IsTrue, qt.Commentf("%s", large))
+	qt.Check(t, deliveryTime([]*pb.ConsensusMessage{message(0)}), qt.Equals, deliverWithin)
+}
