Hold the place of a moving task until it has stopped, and after

Cause: a lasting task that changes places is stopped first. Its new place was held for 1.2 s from the decision on, but a busy leader records the stop after 1.0 to 1.4 s. The place was given to another task by then, and the task waited for the next gap.

A change of places that one of the two tasks cannot make is off for both, so that each can go back.

--- a/core/tbassign/place.go
+++ b/core/tbassign/place.go
@@ -60,7 +60,7 @@
 // pinnedRoom returns the place held for a task that is being moved, or nil while another
 // task has yet to leave it, and whether there is one.
 func (p *pools) pinnedRoom(w waitingStep, ref tbflow.TaskRef, t *tbflow.Task) (*room, bool) {
-	r := p.byWorker[p.rebalancer.pinned(p.now, ref)]
+	r := p.byWorker[p.rebalancer.pinned(p.now, p.state, ref)]
 	if r == nil {
 		return nil, false
 	}
--- a/core/tbassign/plan.go
+++ b/core/tbassign/plan.go
@@ -93,7 +93,7 @@
 func (p *pools) holdPinned() {
 	for ref := range p.rebalancer.pins {
 		t := p.taskOf(ref)
-		r := p.byWorker[p.rebalancer.pinned(p.now, ref)]
+		r := p.byWorker[p.rebalancer.pinned(p.now, p.state, ref)]
 		if r != nil && t != nil && (t.Phase == tbflow.TaskWaiting || t.Worker != r.worker.ID) {
 			r.hold(p.state, ref, 1)
 		}
--- a/core/tbassign/rebalance.go
+++ b/core/tbassign/rebalance.go
@@ -36,8 +36,6 @@
 	settledAfter = 4 * time.Second
 	// shortBacklog is the waiting work that is not worth a move: a pair of moves takes about half of it.
 	shortBacklog = time.Second
-	// pinFor is how long a moved task waits for the place that was chosen for it.
-	pinFor = 1200 * time.Millisecond
 	// unknownTolerance is assumed of a lasting image beside a filling image that was not seen with it.
 	unknownTolerance = 0.5
 )
@@ -49,12 +47,6 @@
 	moved map[tbflow.TaskRef]time.Time
 }
 
-// pin is the place that was chosen for a task that is being moved.
-type pin struct {
-	worker string
-	until  time.Time
-}
-
 // Move is a lasting task that should give up its place for another one.
 type Move struct {
 	Ref  tbflow.TaskRef
@@ -69,14 +61,6 @@
 	return &Rebalancer{pins: map[tbflow.TaskRef]pin{}, moved: map[tbflow.TaskRef]time.Time{}}
 }
 
-// pinned returns the place held for a task, or an empty string.
-func (g *Rebalancer) pinned(now time.Time, ref tbflow.TaskRef) string {
-	if p, ok := g.pins[ref]; ok && now.Before(p.until) {
-		return p.worker
-	}
-	return ""
-}
-
 // Moves returns the lasting tasks to stop now; Plan starts them again at their new places.
 func (g *Rebalancer) Moves(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner) []Move {
 	if now.Before(g.next) {
@@ -97,17 +81,14 @@
 			break
 		}
 		groups.carryOut(best)
-		for _, m := range best.moves() {
-			g.pins[m.Ref] = pin{worker: m.To, until: now.Add(pinFor)}
-			g.moved[m.Ref] = now
-			moves = append(moves, m)
-		}
+		g.hold(now, s, best.moves())
+		moves = append(moves, best.moves()...)
 	}
 	return moves
 }
 
 func (g *Rebalancer) forget(now time.Time) {
-	maps.DeleteFunc(g.pins, func(_ tbflow.TaskRef, p pin) bool { return !now.Before(p.until) })
+	maps.DeleteFunc(g.pins, func(_ tbflow.TaskRef, p pin) bool { return now.Sub(p.until) > pinFor })
 	maps.DeleteFunc(g.moved, func(_ tbflow.TaskRef, at time.Time) bool { return now.Sub(at) > restAfterMove })
 }
 
--- a/core/tbassign/rebalance_test.go
+++ b/core/tbassign/rebalance_test.go
@@ -127,6 +127,41 @@
 	}
 }
 
+// A busy leader records the stop of a moving task more than a second after it decided to
+// move it. The place was given away by then, and the task was away for ten seconds.
+func TestPlaceOfAMovingTaskIsHeldUntilItHasStopped(t *testing.T) {
+	b := mixedBench(t, 2)
+	b.submit("fill", "f", filler(200, "bad"))
+	moves := b.group.Moves(b.now, b.state, b.fleet, b.learn)
+	qt.Assert(t, moves, qt.HasLen, 2)
+	b.submit("short", "s", tbflow.Step{Count: 2, Need: need(7), Estimate: time.Second})
+	for _, m := range moves {
+		b.pass(1300 * time.Millisecond)
+		b.carryOut([]Move{m})
+		qt.Check(t, b.state.Jobs["s"].Tasks[0][0][0].Phase, qt.Equals, tbflow.TaskWaiting)
+	}
+	for _, m := range moves {
+		qt.Check(t, b.state.Jobs[m.Ref.Job].Task(m.Ref).Worker, qt.Equals, m.To)
+	}
+}
+
+// The other task of a change of places never stops: the first one goes back to its place.
+func TestChangeOfPlacesThatOneTaskCannotMakeIsOffForBoth(t *testing.T) {
+	b := mixedBench(t, 2)
+	b.submit("fill", "f", filler(200, "bad"))
+	moves := b.group.Moves(b.now, b.state, b.fleet, b.learn)
+	qt.Assert(t, moves, qt.HasLen, 2)
+	b.carryOut(moves[:1])
+	task := b.state.Jobs[moves[0].Ref.Job].Task(moves[0].Ref)
+	qt.Check(t, task.Phase, qt.Equals, tbflow.TaskWaiting)
+	b.pass(pinFor + 100*time.Millisecond)
+	b.plan()
+	qt.Check(t, task.Phase, qt.Equals, tbflow.TaskAssigned)
+	qt.Check(t, task.Worker, qt.Equals, moves[0].From)
+	// It runs again, so that no place is held for it any more.
+	qt.Check(t, b.group.pinned(b.now, b.state, moves[0].Ref), qt.Equals, "")
+}
+
 // While a task of a spread step moves, another task of the step fails and waits as well.
 // It may not take the moving task's place beside it (found by a hunt: kollaalert
 // hunt-8551-19 started a second task of a step where one was allowed).
@@ -144,7 +179,7 @@
 		}
 		// The moving task's new place is that of the failed one.
 		to := tasks[failing.Index].Worker
-		b.group.pins[moving] = pin{worker: to, until: b.now.Add(time.Second)}
+		b.group.pins[moving] = pin{worker: to, run: 1, until: b.now.Add(time.Second), partner: moving}
 		for _, ref := range []tbflow.TaskRef{failing, moving} {
 			c := tbflow.NoteEnds{Worker: tasks[ref.Index].Worker, Born: 1, Ends: []tbflow.End{{Ref: ref, Run: 1, Kind: tbflow.EndStopped}}}
 			b.state.Apply(b.now.UnixMilli(), c)
