Start lasting tasks that have waited for long before short jobs

Cause: short jobs that can be on time go before lasting tasks, since they are over in a second.

New lasting tasks still go behind short jobs.

--- a/core/tbassign/assign_test.go
+++ b/core/tbassign/assign_test.go
@@ -110,6 +110,41 @@
 	}
 }
 
+// A lasting task lost its place on a full day, and short jobs keep coming: each plan filled
+// every gap with them first, and the task was away for ten seconds and more.
+func TestLastingTaskThatWaitsForLongGoesBeforeShortJobs(t *testing.T) {
+	b := newBench(t, 1)
+	b.submit("watch", "w1", watcher(4, "a"))
+	watchers := b.plan()
+	qt.Assert(t, watchers, qt.HasLen, 4)
+	end := func(r tbflow.Assignment, kind tbflow.EndKind) {
+		c := tbflow.NoteEnds{Worker: r.Worker, Born: 1, Ends: []tbflow.End{{Ref: r.Ref, Run: r.Run, Kind: kind}}}
+		b.state.Apply(b.now.UnixMilli(), c)
+		b.fleet.Applied(b.now, b.state, c)
+	}
+	short := func(n int) {
+		b.submit("short", fmt.Sprintf("s%d", n), tbflow.Step{Count: 2, Need: need(4), Estimate: 500 * time.Millisecond})
+	}
+	short(0)
+	running := b.plan()
+	end(watchers[0], tbflow.EndStopped)
+	lost := b.state.Jobs["w1"].Task(watchers[0].Ref)
+	for i := range 6 {
+		short(i + 1)
+		running = append(running, b.plan()...)
+		if lost.Phase == tbflow.TaskAssigned {
+			break
+		}
+		b.now = b.now.Add(400 * time.Millisecond)
+		b.state.Apply(b.now.UnixMilli(), tbflow.PutConfig{})
+		for _, r := range running[:2] {
+			end(r, tbflow.EndDone)
+		}
+		running = running[2:]
+	}
+	qt.Check(t, lost.Phase, qt.Equals, tbflow.TaskAssigned)
+}
+
 // Lasting tasks arrive faster than they end: a share of each instance stays free for
 // short jobs, though nothing waits at the moment.
 func TestLastingTasksLeaveRoomForShortOnes(t *testing.T) {
--- a/core/tbassign/wait.go
+++ b/core/tbassign/wait.go
@@ -30,6 +30,8 @@
 	postponed bool
 	// work is what the step and those behind it still have to do, in processor seconds.
 	work float64
+	// overdue is true when a lasting task has waited for longer than it may.
+	overdue bool
 }
 
 // lateness tells what can still become of a job.
@@ -83,6 +85,7 @@
 		rest := chain(j, l, i).Milliseconds()
 		w.endMs = j.DueMs(k) + objective
 		w.latestStartMs = w.endMs - rest
+		w.overdue = w.step.Lasting && anyOverdue(s.NowMs, j, refs)
 		if w.latestStartMs < s.NowMs && !w.step.Lasting {
 			w.lateness = late
 			w.latestStartMs = j.DueMs(k) + usefulFor*objective - rest
@@ -95,6 +98,21 @@
 	return all
 }
 
+// restartHoldMs is how long, in milliseconds, short jobs go before a lasting task that has run already.
+const restartHoldMs = 500
+
+// anyOverdue reports whether one of the lasting tasks named has waited for too long.
+func anyOverdue(nowMs int64, j *tbflow.Job, refs []tbflow.TaskRef) bool {
+	return slices.ContainsFunc(refs, func(ref tbflow.TaskRef) bool {
+		t := j.Task(ref)
+		hold := int64(reserveHoldMs)
+		if t.Run > 0 {
+			hold = restartHoldMs
+		}
+		return nowMs-t.WaitingMs > hold
+	})
+}
+
 // chain returns the expected time of the longest chain of steps from a step on.
 func chain(j *tbflow.Job, l *Learner, from int) time.Duration {
 	longest := make([]time.Duration, len(j.Steps))
@@ -143,22 +161,29 @@
 	return cmp.Compare(a.latestStartMs, b.latestStartMs)
 }
 
-// class orders steps before their time is compared: within a priority, steps that can
-// be on time, then lasting ones, then late ones.
+// classes is the number of classes within a priority.
+const classes = 6
+
+// class orders steps before their time is compared: within a priority, lasting steps that
+// have waited for too long, steps that can be on time, then other lasting ones, then late ones.
 //
 // A short job is over in a second and frees what it used; a lasting task that starts a
-// second later loses a second of its minutes.
+// second later loses a second of its minutes. It needs a larger gap, though, and short
+// jobs that keep coming would fill each one before it.
 func class(w waitingStep) int {
-	c := 5 * w.job.Priority
+	c := classes * w.job.Priority
 	switch {
+	case w.overdue:
 	case w.step.Lasting:
-		c++
-	case w.postponed:
 		c += 2
-	case w.lateness == late:
+	case w.postponed:
 		c += 3
-	case w.lateness == tooLate:
+	case w.lateness == late:
 		c += 4
+	case w.lateness == tooLate:
+		c += 5
+	default:
+		c++
 	}
 	return c
 }
