--- a/core/tbassign/pins.go
+++ b/core/tbassign/pins.go
@@ -68,6 +68,15 @@
 	return workers
 }
 
+// keepOut keeps instances that a change under way involves out of this round.
+func (g *groups) keepOut(changing map[string]bool) {
+	for _, c := range g.class {
+		for _, r := range c.rooms {
+			r.busy = changing[r.worker.ID]
+		}
+	}
+}
+
 // pinEnded reports whether a moving task did not stop in time, or found its place taken for too long.
 func (g *Rebalancer) pinEnded(now time.Time, s *tbflow.State, ref tbflow.TaskRef, p pin) bool {
 	j := s.Jobs[ref.Job]
--- a/core/tbassign/rebalance.go
+++ b/core/tbassign/rebalance.go
@@ -73,7 +73,7 @@
 		return nil
 	}
 	groups := newGroups(now, s, f, l, g.moved, demand)
-	groups.reserve(g.changing(now, s))
+	groups.keepOut(g.changing(now, s))
 	groups.weigh(demand)
 	var moves []Move
 	for range rebalanceSwaps {
@@ -140,7 +140,7 @@
 	lasting float64
 	// tolerant sums the same, weighted by how well each filling image is borne.
 	tolerant []float64
-	// busy is true when a change under way or in this round already involves the instance.
+	// busy is true when a change in this round already involves the instance.
 	busy bool
 }
 
@@ -204,15 +204,6 @@
 	return away
 }
 
-// reserve keeps instances that a change under way involves out of other changes.
-func (g *groups) reserve(changing map[string]bool) {
-	for _, c := range g.class {
-		for _, r := range c.rooms {
-			r.busy = changing[r.worker.ID]
-		}
-	}
-}
-
 // weigh sets the weights of filling images to the work that waits beyond what the
 // instances that suit them do within a moment.
 func (g *groups) weigh(demand map[string]map[string]float64) {
