--- a/io/tbdaemon/outbox.go
+++ b/io/tbdaemon/outbox.go
@@ -4,15 +4,22 @@
 	"time"
 
 	"tamarackbarrow/core/tbconsensus"
+	"tamarackbarrow/core/tbcontrol"
+	"tamarackbarrow/core/tbnode"
 	"tamarackbarrow/io/tbcodec"
 	pb "tamarackbarrow/io/tbproto/v1"
 )
 
 // Limits of messages between replicas.
 const (
-	deliverWithin   = 300 * time.Millisecond
-	outboxSize      = 4096
-	maxDeliverBytes = 2 << 20
+	// deliverWithin and deliverBytesPerSecond bound the time of a delivery by its size; a
+	// configuration of a thousand queues is one entry of about a megabyte.
+	deliverWithin         = 300 * time.Millisecond
+	deliverBytesPerSecond = 512 << 10
+	outboxSize            = 4096
+	// maxDeliverBytes is the size from which a delivery takes no more messages: a larger one
+	// would run out of time beside a busy leader, and is lost whole.
+	maxDeliverBytes = 192 << 10
 )
 
 // outbox sends consensus messages to one address in order; it may lose them.
@@ -66,15 +73,36 @@
 			return
 		case first := <-o.messages:
 			batch := gather(first, o.messages)
-			err := d.peers.Deliver(d.ctx, address, deliverWithin, &pb.DeliverRequest{Messages: batch, FromAddress: d.settings.PeerAddress})
+			err := d.peers.Deliver(d.ctx, address, deliveryTime(batch), &pb.DeliverRequest{Messages: batch, FromAddress: d.settings.PeerAddress})
 			if err != nil {
 				d.counters.add("peers.deliverFailed")
 				d.log.Debug("messages to replica lost", "address", address, "error", err)
+				d.noteUndelivered(batch)
 			}
 		}
 	}
 }
 
+// deliveryTime bounds a delivery: an entry that is too large for a fixed time would never arrive.
+func deliveryTime(batch []*pb.ConsensusMessage) time.Duration {
+	size := 0
+	for _, m := range batch {
+		size += messageBytes(m)
+	}
+	return deliverWithin + time.Duration(size)*time.Second/deliverBytesPerSecond
+}
+
+// noteUndelivered tells the control role whose entries may be lost.
+func (d *Daemon) noteUndelivered(batch []*pb.ConsensusMessage) {
+	var told uint64
+	for _, m := range batch {
+		if messageBytes(m) > 0 && m.GetTo() != told {
+			told = m.GetTo()
+			d.push(tbnode.Event{Control: tbcontrol.DeliveryFailed{To: tbconsensus.ReplicaID(told)}})
+		}
+	}
+}
+
 // gather takes what is at hand, up to a bounded size.
 func gather(first *pb.ConsensusMessage, more <-chan *pb.ConsensusMessage) []*pb.ConsensusMessage {
 	batch := []*pb.ConsensusMessage{first}
