--- a/core/tbassign/assign_test.go
+++ b/core/tbassign/assign_test.go
@@ -15,7 +15,7 @@
 
 // bench is a state and a fleet of instances of 32 processors.
 type bench struct {
-	t     *testing.T
+	t     testing.TB
 	now   time.Time
 	state *tbflow.State
 	fleet *tbfleet.Fleet
@@ -24,7 +24,7 @@
 	seq   map[string]uint64
 }
 
-func newBench(t *testing.T, workers int) *bench {
+func newBench(t testing.TB, workers int) *bench {
 	b := &bench{
 		t: t, now: time.UnixMilli(1_700_000_000_000), state: tbflow.New(), learn: NewLearner(), group: NewRebalancer(), seq: map[string]uint64{},
 		fleet: tbfleet.New(tbfleet.Terms{
