--- a/core/tbassign/colocation.go
+++ b/core/tbassign/colocation.go
@@ -56,19 +56,19 @@
 }
 
 // cost returns what it costs filling work, from 0 to 1, to put a lasting image beside others.
-func (c *colocation) cost(image string, beside map[string]int) float64 {
-	if len(beside) == 0 || beside[image] > 0 && len(beside) == 1 {
+func (t *imageTable) cost(image int, beside []imageCount) float64 {
+	if len(beside) == 0 || len(beside) == 1 && beside[0].image == image {
 		return 0
 	}
-	if len(c.filling) == 0 {
+	if t.learned == 0 {
 		return unknownCost
 	}
-	own := c.of(image)
+	own := t.harms[image]
 	sum := 0.0
-	for i := range c.filling {
+	for i := range own {
 		worst := 0.0
-		for other := range beside {
-			worst = math.Max(worst, c.of(other)[i])
+		for _, other := range beside {
+			worst = math.Max(worst, t.harms[other.image][i])
 		}
 		switch harm := own[i] - worst; {
 		case math.IsNaN(harm):
@@ -79,5 +79,5 @@
 			sum -= harm * wastedShare
 		}
 	}
-	return sum / float64(len(c.filling))
+	return sum / float64(t.learned)
 }
--- a/core/tbassign/contention.go
+++ b/core/tbassign/contention.go
@@ -157,20 +157,3 @@
 	})
 	return all
 }
-
-// bears reports whether the lasting tasks of a room bear another filling task.
-func (p *pools) bears(r *room, step *tbflow.Step) bool {
-	if p.learner.worstSlope(r.lasting, step.Image) > harmlessSlope {
-		return true
-	}
-	if r.contention == nil {
-		r.contention = p.learner.contentionOf(p.state, r.worker, func(run *tbfleet.Run) bool { return run.Phase != tbfleet.RunEnding })
-	}
-	more := share(step.Need.MilliProcessors, r.worker)
-	for _, t := range r.contention.tasks {
-		if r.contention.margin(t)+r.contention.slope(t, step.Image)*more < startMargin {
-			return false
-		}
-	}
-	return true
-}
--- a/core/tbassign/harm.go
+++ b/core/tbassign/harm.go
@@ -238,12 +238,3 @@
 
 // usualMargin is assumed of a lasting image whose tail was not read yet.
 const usualMargin = 2.5
-
-// worstSlope returns the strongest effect that a filling image has on any of the lasting images.
-func (l *Learner) worstSlope(lasting map[string]int, filling string) float64 {
-	worst := 0.0
-	for image := range lasting {
-		worst = min(worst, l.slope(image, filling))
-	}
-	return worst
-}
--- a/core/tbassign/overload.go
+++ b/core/tbassign/overload.go
@@ -57,8 +57,9 @@
 // capacity returns the processors that filling work of an image has or could have now.
 func (p *pools) capacity(of imageOf) float64 {
 	sum := p.running[of]
+	filling := p.images.fillingNumber(of.image)
 	for _, r := range p.classes[of.class] {
-		if r.unused > 0 && p.learner.worstSlope(r.lasting, of.image) > harmlessSlope {
+		if r.unused > 0 && p.worstSlope(r, filling) > harmlessSlope {
 			sum += r.unused
 		}
 	}
--- a/core/tbassign/place.go
+++ b/core/tbassign/place.go
@@ -1,6 +1,7 @@
 package tbassign
 
 import (
+	"math"
 	"slices"
 
 	"tamarackbarrow/core/tbfleet"
@@ -27,11 +28,12 @@
 const fillOvercommit = 1.0
 
 // place assigns as many tasks of a step as fit, a gang as a whole.
-func (p *pools) place(w waitingStep, limit int) []tbflow.Assignment {
+func (p *pools) place(w *waitingStep, limit int) []tbflow.Assignment {
 	if w.step.Gang {
 		return p.placeGang(w, limit)
 	}
 	var plan []tbflow.Assignment
+	var fit *candidates
 	for _, ref := range w.refs {
 		if len(plan) >= limit {
 			break
@@ -42,7 +44,10 @@
 			continue
 		}
 		if r == nil {
-			r = p.choose(w, t)
+			if fit == nil {
+				fit = p.rate(w)
+			}
+			r = fit.choose(t)
 		}
 		if r == nil {
 			// The next task of the step needs the same and may only avoid another worker.
@@ -51,7 +56,10 @@
 			}
 			continue
 		}
-		r.take(w)
+		p.take(r, w)
+		if fit != nil {
+			fit.renew(r)
+		}
 		plan = append(plan, tbflow.Assignment{Ref: ref, Run: t.Run + 1, Worker: r.worker.ID, Born: r.worker.Born})
 	}
 	return plan
@@ -59,7 +67,7 @@
 
 // pinnedRoom returns the place held for a task that is being moved, or nil while another
 // task has yet to leave it, and whether there is one.
-func (p *pools) pinnedRoom(w waitingStep, ref tbflow.TaskRef, t *tbflow.Task) (*room, bool) {
+func (p *pools) pinnedRoom(w *waitingStep, ref tbflow.TaskRef, t *tbflow.Task) (*room, bool) {
 	r := p.byWorker[p.rebalancer.pinned(p.now, ref)]
 	if r == nil {
 		return nil, false
@@ -69,14 +77,18 @@
 	case !w.step.Need.Fits(r.free):
 		r.hold(p.state, ref, 1)
 		return nil, true
-	case !p.allowed(r, w, t, len(p.classes[w.job.WorkerClass])):
+	case !p.allowed(r, w) || avoids(t, r, len(p.classes[w.job.WorkerClass])):
+		// What was rated with the place held is rated again.
+		if p.rated.step == w {
+			p.rated.renew(r)
+		}
 		return nil, false
 	}
 	return r, true
 }
 
 // placeGang assigns all tasks of a gang or none, under one run number.
-func (p *pools) placeGang(w waitingStep, limit int) []tbflow.Assignment {
+func (p *pools) placeGang(w *waitingStep, limit int) []tbflow.Assignment {
 	tasks := w.job.Tasks[w.occurrence][w.index]
 	if len(w.refs) < len(tasks) || len(w.refs) > limit {
 		return nil
@@ -87,70 +99,102 @@
 	}
 	var plan []tbflow.Assignment
 	var taken []*room
+	fit := p.rate(w)
 	for _, ref := range w.refs {
-		r := p.choose(w, w.job.Task(ref))
+		r := fit.choose(w.job.Task(ref))
 		if r == nil {
 			for _, r := range taken {
-				r.giveBack(w)
+				p.giveBack(r, w)
 			}
 			return nil
 		}
-		r.take(w)
+		p.take(r, w)
+		fit.renew(r)
 		taken = append(taken, r)
 		plan = append(plan, tbflow.Assignment{Ref: ref, Run: run + 1, Worker: r.worker.ID, Born: r.worker.Born})
 	}
 	return plan
 }
 
+// candidates are the rooms of a step's class with their scores; a room is rated again
+// only when a task of the step has taken some of it.
+type candidates struct {
+	pools  *pools
+	step   *waitingStep
+	rooms  []*room
+	scores []float64
+	// kept is true for rooms of which a lasting task would take what is kept for short ones.
+	kept []bool
+}
+
+// noRoom is the score of a room that takes no task of the step.
+var noRoom = math.Inf(-1)
+
+func (p *pools) rate(w *waitingStep) *candidates {
+	c := &p.rated
+	c.pools, c.step, c.rooms = p, w, p.classes[w.job.WorkerClass]
+	c.scores = slices.Grow(c.scores[:0], len(c.rooms))[:len(c.rooms)]
+	c.kept = slices.Grow(c.kept[:0], len(c.rooms))[:len(c.rooms)]
+	for _, r := range c.rooms {
+		c.renew(r)
+	}
+	return c
+}
+
+func (c *candidates) renew(r *room) {
+	c.scores[r.index], c.kept[r.index] = noRoom, false
+	if c.pools.allowed(r, c.step) {
+		c.scores[r.index] = c.pools.score(r, c.step)
+		c.kept[r.index] = c.step.step.Lasting && !r.keepsReserve(c.step.step)
+	}
+}
+
 // choose returns the best room for a task, or nil.
 //
 // A lasting task may use the room kept for short ones when it has waited for a while
 // and would fit at least twice.
-func (p *pools) choose(w waitingStep, t *tbflow.Task) *room {
-	var best, bestKept *room
-	var bestScore, bestKeptScore float64
+func (c *candidates) choose(t *tbflow.Task) *room {
+	best, bestKept := -1, -1
 	kept := 0
-	rooms := p.classes[w.job.WorkerClass]
-	for _, r := range rooms {
-		if !p.allowed(r, w, t, len(rooms)) {
-			continue
-		}
-		score := p.score(r, w)
-		if w.step.Lasting && !r.keepsReserve(w.step) {
+	for i, score := range c.scores {
+		switch {
+		case score == noRoom || t.LastFailedOn != "" && avoids(t, c.rooms[i], len(c.rooms)):
+		case c.kept[i]:
 			kept++
-			if bestKept == nil || score > bestKeptScore {
-				bestKept, bestKeptScore = r, score
+			if bestKept < 0 || score > c.scores[bestKept] {
+				bestKept = i
 			}
-			continue
-		}
-		if best == nil || score > bestScore {
-			best, bestScore = r, score
+		case best < 0 || score > c.scores[best]:
+			best = i
 		}
 	}
-	if best == nil && kept >= 2 && p.state.NowMs-t.WaitingMs > reserveHoldMs {
-		return bestKept
+	switch {
+	case best >= 0:
+		return c.rooms[best]
+	case kept >= 2 && c.pools.state.NowMs-t.WaitingMs > reserveHoldMs:
+		return c.rooms[bestKept]
 	}
-	return best
+	return nil
 }
 
-func (p *pools) allowed(r *room, w waitingStep, t *tbflow.Task, rooms int) bool {
+// avoids reports whether a task failed on the room's worker last and may go elsewhere.
+func avoids(t *tbflow.Task, r *room, rooms int) bool {
+	return t.LastFailedOn == r.worker.ID && rooms > 1
+}
+
+// allowed reports whether a room takes another task of a step.
+func (p *pools) allowed(r *room, w *waitingStep) bool {
 	need := w.step.Need
 	if w.step.Fills {
 		need.MilliProcessors = 0
 		if int64(float64(w.step.Need.MilliProcessors)*fillOvercommit) > r.unused {
 			return false
 		}
-		if !p.bears(r, w.step) {
+		if !p.bears(r, w) {
 			return false
 		}
 	}
-	switch {
-	case !need.Fits(r.free):
-		return false
-	case t.LastFailedOn == r.worker.ID && rooms > 1:
-		return false
-	}
-	return admitted(w.step, r.worker, r.tasks[w.ref()])
+	return need.Fits(r.free) && admitted(w.step, r.worker, r.tasks[w.ref()])
 }
 
 // admitted reports whether a worker has the step's label and may run one more of its
@@ -176,7 +220,7 @@
 const farPenalty = 1e6
 
 // score is higher for a better place.
-func (p *pools) score(r *room, w waitingStep) float64 {
+func (p *pools) score(r *room, w *waitingStep) float64 {
 	score := 0.0
 	if w.step.Rack != "" && r.worker.Rack != w.step.Rack {
 		score -= farPenalty
@@ -186,63 +230,15 @@
 	}
 	left := r.free.Sub(w.step.Need)
 	if w.step.Lasting {
-		score -= colocationWeight * p.colocation.cost(w.step.Image, r.lasting)
+		score -= colocationWeight * p.images.cost(p.images.lastingNumber(w.step.Image), r.lasting)
 	}
 	return score - left.Share(r.worker.Capacity) - float64(r.worker.Failures)
 }
 
 // fillScore prefers unused processors, keeps filling images away from those that they
 // harm, and leaves instances to the images that can go nowhere else.
-func (p *pools) fillScore(r *room, w waitingStep) float64 {
+func (p *pools) fillScore(r *room, w *waitingStep) float64 {
 	score := share(r.unused, r.worker) - float64(r.worker.Failures)
-	slope := p.learner.worstSlope(r.lasting, w.step.Image)
+	slope := p.worstSlope(r, w.filling)
 	return score + harmWeight*slope - scarceWeight*p.scarcity(r, w)
 }
-
-// scarcity returns how much the other filling images need this room: the mean, over
-// those that it suits, of the share of rooms that they harm.
-func (p *pools) scarcity(r *room, w waitingStep) float64 {
-	if p.restricted == nil {
-		p.restricted = p.restrictions(p.classes[w.job.WorkerClass])
-	}
-	sum := 0.0
-	for image, share := range p.restricted {
-		if image != w.step.Image && p.learner.worstSlope(r.lasting, image) > harmlessSlope {
-			sum += share
-		}
-	}
-	return sum / float64(max(1, len(p.restricted)))
-}
-
-// restrictions returns, for each filling image, the share of rooms that it harms.
-func (p *pools) restrictions(rooms []*room) map[string]float64 {
-	shares := map[string]float64{}
-	for _, image := range p.learner.fillingImages() {
-		harmed := 0
-		for _, r := range rooms {
-			if p.learner.worstSlope(r.lasting, image) <= harmlessSlope {
-				harmed++
-			}
-		}
-		shares[image] = float64(harmed) / float64(max(1, len(rooms)))
-	}
-	return shares
-}
-
-func (r *room) take(w waitingStep) { r.change(w, 1) }
-
-func (r *room) giveBack(w waitingStep) { r.change(w, -1) }
-
-func (r *room) change(w waitingStep, sign int) {
-	need := w.step.Need
-	if w.step.Fills {
-		r.unused -= int64(sign) * need.MilliProcessors
-		if r.contention != nil && sign > 0 {
-			r.contention.add(w.step, r.worker)
-		}
-		need.MilliProcessors = 0
-	} else {
-		r.occupy(w.step, sign)
-	}
-	r.reserve(w.step, w.ref(), need, sign)
-}
--- a/core/tbassign/wait.go
+++ b/core/tbassign/wait.go
@@ -20,6 +20,8 @@
 	occurrence int
 	index      int
 	refs       []tbflow.TaskRef
+	// filling is the number of a filling step's image in the plan.
+	filling int
 	// latestStartMs is when the step has to start for its job to be on time, or, once that
 	// has passed, for its job to be of some use.
 	latestStartMs int64
@@ -50,7 +52,7 @@
 func (w *waitingStep) ref() stepRef { return stepRef{w.job.ID, w.occurrence, w.index} }
 
 // waiting returns all steps that may start, in the order in which they should.
-func (p *pools) waiting() []waitingStep {
+func (p *pools) waiting() []*waitingStep {
 	s, l := p.state, p.learner
 	var all []waitingStep
 	for _, j := range s.Active() {
@@ -62,8 +64,15 @@
 		}
 	}
 	postpone(s.NowMs, all, p.capacity)
-	slices.SortStableFunc(all, compareWaiting)
-	return all
+	ordered := make([]*waitingStep, len(all))
+	for i := range all {
+		ordered[i] = &all[i]
+		if all[i].step.Fills {
+			all[i].filling = p.images.fillingNumber(all[i].step.Image)
+		}
+	}
+	slices.SortStableFunc(ordered, func(a, b *waitingStep) int { return compareWaiting(*a, *b) })
+	return ordered
 }
 
 func waitingOf(s *tbflow.State, l *Learner, j *tbflow.Job, k int) []waitingStep {
