--- a/core/tbassign/place.go
+++ b/core/tbassign/place.go
@@ -29,6 +29,7 @@
 
 // place assigns as many tasks of a step as fit, a gang as a whole.
 func (p *pools) place(w *waitingStep, limit int) []tbflow.Assignment {
+	p.countSpread(w)
 	if w.step.Gang {
 		return p.placeGang(w, limit)
 	}
--- a/core/tbassign/plan.go
+++ b/core/tbassign/plan.go
@@ -10,12 +10,17 @@
 // Plan returns the runs that should start now.
 func Plan(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer, limit int) []tbflow.Assignment {
 	pools := newPools(now, s, f, l, g)
+	pools.weigh()
+	return pools.placeAll(pools.waiting(), limit)
+}
+
+func (p *pools) placeAll(steps []*waitingStep, limit int) []tbflow.Assignment {
 	var plan []tbflow.Assignment
-	for _, step := range pools.waiting() {
+	for _, step := range steps {
 		if len(plan) >= limit {
 			break
 		}
-		plan = append(plan, pools.place(step, limit-len(plan))...)
+		plan = append(plan, p.place(step, limit-len(plan))...)
 	}
 	return plan
 }
@@ -31,17 +36,19 @@
 	// running sums what the filling tasks of each image ask for that run now, in thousandths of a processor.
 	running map[imageOf]int64
 	images  *imageTable
+	// counted holds the steps whose tasks are counted in the rooms for their spread limit.
+	counted map[stepRef]bool
 	// restricted holds the share of rooms that each learned filling image harms, once it was needed.
 	restricted []float64
 	// rated is reused from one step to the next.
 	rated candidates
 }
 
+// newPools returns the rooms with what is free in them; weigh adds the rest.
 func newPools(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer) *pools {
 	p := &pools{
 		state: s, learner: l, rebalancer: g, now: now, classes: map[string][]*room{}, byWorker: map[string]*room{},
-		running: map[imageOf]int64{},
-		images:  newImageTable(l),
+		counted: map[stepRef]bool{},
 	}
 	for _, w := range f.Workers() {
 		if !f.Usable(w, now) {
@@ -50,24 +57,52 @@
 		use := s.Use(w.ID)
 		r := &room{worker: w, index: len(p.classes[w.Class]), free: w.Capacity.Sub(use.Reserved)}
 		r.unused = w.Capacity.MilliProcessors - use.FillProcessors
-		s.EachRun(w.ID, func(ref tbflow.TaskRef, _ *tbflow.Task) {
-			step := s.StepOf(ref)
+		p.classes[w.Class] = append(p.classes[w.Class], r)
+		p.byWorker[w.ID] = r
+	}
+	p.holdPinned()
+	return p
+}
+
+// fewImages is the number of lasting images of an instance for which there is space at first.
+const fewImages = 8
+
+// weigh counts what runs in each room, which lasting and filling steps are placed by.
+func (p *pools) weigh() {
+	p.images, p.running = newImageTable(p.learner), map[imageOf]int64{}
+	// One allocation for all rooms.
+	n := p.images.learned
+	figures := make([]float64, 2*n*len(p.byWorker))
+	lasting := make([]imageCount, fewImages*len(p.byWorker))
+	for id, r := range p.byWorker {
+		r.worst, r.scarce, figures = figures[:0:n], figures[n:n:2*n], figures[2*n:]
+		r.lasting, lasting = lasting[:0:fewImages], lasting[fewImages:]
+		p.state.EachRun(id, func(ref tbflow.TaskRef, _ *tbflow.Task) {
+			step := p.state.StepOf(ref)
 			if step == nil {
 				return
 			}
 			p.occupy(r, step, 1)
-			if step.SpreadLimit > 0 {
-				r.spread(refOfStep(ref), 1)
-			}
 			if step.Fills {
-				p.running[imageOf{w.Class, step.Image}] += step.Need.MilliProcessors
+				p.running[imageOf{r.worker.Class, step.Image}] += step.Need.MilliProcessors
 			}
 		})
-		p.classes[w.Class] = append(p.classes[w.Class], r)
-		p.byWorker[w.ID] = r
 	}
-	p.holdPinned()
-	return p
+}
+
+// countSpread counts the tasks of a step with a spread limit in their rooms.
+func (p *pools) countSpread(w *waitingStep) {
+	ref := w.ref()
+	if w.step.SpreadLimit <= 0 || p.counted[ref] {
+		return
+	}
+	p.counted[ref] = true
+	for i := range w.job.Tasks[w.occurrence][w.index] {
+		t := &w.job.Tasks[w.occurrence][w.index][i]
+		if r := p.byWorker[t.Worker]; r != nil && t.Phase == tbflow.TaskAssigned {
+			r.spread(ref, 1)
+		}
+	}
 }
 
 // holdPinned keeps the places of tasks that are being moved from all others.
--- a/core/tbassign/wait.go
+++ b/core/tbassign/wait.go
@@ -60,7 +60,7 @@
 			if j.DueMs(k) > s.NowMs {
 				continue
 			}
-			all = append(all, waitingOf(s, l, j, k)...)
+			all = appendWaiting(all, s, l, j, k)
 		}
 	}
 	postpone(s.NowMs, all, p.capacity)
@@ -76,25 +76,40 @@
 }
 
 func waitingOf(s *tbflow.State, l *Learner, j *tbflow.Job, k int) []waitingStep {
-	var all []waitingStep
+	return appendWaiting(nil, s, l, j, k)
+}
+
+// appendWaiting appends the waiting steps of one occurrence.
+func appendWaiting(all []waitingStep, s *tbflow.State, l *Learner, j *tbflow.Job, k int) []waitingStep {
+	var rest []time.Duration
+	var whole time.Duration
+	var work float64
 	for i := range j.Steps {
-		var refs []tbflow.TaskRef
+		waiting := waitingTasks(j, k, i)
+		if waiting == 0 || !j.StepReady(k, i) {
+			continue
+		}
+		if rest == nil {
+			rest, whole = chains(j, l)
+			work = workLeft(j, l, k)
+		}
+		refs := make([]tbflow.TaskRef, 0, waiting)
 		for n := range j.Tasks[k][i] {
-			if t := &j.Tasks[k][i][n]; t.Phase == tbflow.TaskWaiting {
+			if j.Tasks[k][i][n].Phase == tbflow.TaskWaiting {
 				refs = append(refs, tbflow.TaskRef{Job: j.ID, Occurrence: k, Step: i, Index: n})
 			}
 		}
-		if len(refs) == 0 || !j.StepReady(k, i) {
-			continue
+		w := waitingStep{job: j, step: &j.Steps[i], occurrence: k, index: i, refs: refs, work: work}
+		objective := int64(j.Slack*float64(whole.Milliseconds())) + j.Target.Milliseconds()
+		restMs := rest[i].Milliseconds()
+		if i == 0 {
+			restMs = whole.Milliseconds()
 		}
-		w := waitingStep{job: j, step: &j.Steps[i], occurrence: k, index: i, refs: refs, work: workLeft(j, l, k)}
-		objective := int64(j.Slack*float64(chain(j, l, 0).Milliseconds())) + j.Target.Milliseconds()
-		rest := chain(j, l, i).Milliseconds()
 		w.endMs = j.DueMs(k) + objective
-		w.latestStartMs = w.endMs - rest
+		w.latestStartMs = w.endMs - restMs
 		if w.latestStartMs < s.NowMs && !w.step.Lasting {
 			w.lateness = late
-			w.latestStartMs = j.DueMs(k) + usefulFor*objective - rest
+			w.latestStartMs = j.DueMs(k) + usefulFor*objective - restMs
 			if w.latestStartMs < s.NowMs {
 				w.lateness = tooLate
 			}
@@ -104,8 +119,9 @@
 	return all
 }
 
-// chain returns the expected time of the longest chain of steps from a step on.
-func chain(j *tbflow.Job, l *Learner, from int) time.Duration {
+// chains returns the expected time of the longest chain of steps from each step on, and
+// that of the longest of all.
+func chains(j *tbflow.Job, l *Learner) ([]time.Duration, time.Duration) {
 	longest := make([]time.Duration, len(j.Steps))
 	var best time.Duration
 	for i := len(j.Steps) - 1; i >= 0; i-- {
@@ -115,10 +131,7 @@
 		}
 		best = max(best, longest[i])
 	}
-	if from > 0 {
-		return longest[from]
-	}
-	return best
+	return longest, best
 }
 
 // workLeft returns the work of all tasks of an occurrence that wait, in processor seconds.
@@ -132,14 +145,19 @@
 
 // waitingWork returns the work of the waiting tasks of one step, in processor seconds.
 func waitingWork(j *tbflow.Job, l *Learner, k, i int) float64 {
+	one := float64(j.Steps[i].Need.MilliProcessors) / 1000 * l.RunTime(j, &j.Steps[i]).Seconds()
+	return one * float64(waitingTasks(j, k, i))
+}
+
+// waitingTasks counts the waiting tasks of one step.
+func waitingTasks(j *tbflow.Job, k, i int) int {
 	waiting := 0
 	for n := range j.Tasks[k][i] {
 		if j.Tasks[k][i][n].Phase == tbflow.TaskWaiting {
 			waiting++
 		}
 	}
-	one := float64(j.Steps[i].Need.MilliProcessors) / 1000 * l.RunTime(j, &j.Steps[i]).Seconds()
-	return one * float64(waiting)
+	return waiting
 }
 
 func compareWaiting(a, b waitingStep) int {
