Plan short steps by themselves, and everything else at a bounded rate

What callers saw: short jobs with a slack of 250 ms waited behind plans of up to 256 runs.

Cause: one plan weighed all waiting work, and ordering what it placed kept the leader from the next one for longer than a short job's slack.

Planner makes plans of short steps that can be on time, by what is free alone, whenever a job or an end was recorded. Everything else has its turn every 100 us for each worker (15 ms at least), at most 64 runs each time. A short step does not pass lasting or late steps of a better priority.

--- a/core/tbassign/plan_bench_test.go
+++ b/core/tbassign/plan_bench_test.go
@@ -94,11 +94,13 @@
 
 func (b *bench) lookAtAll(rng *rand.Rand) {
 	for _, w := range b.fleet.Workers() {
+		// Runs come in no particular order: each reading follows from its step.
+		level := rng.Int64N(25)
 		b.look(w.ID, func(s *tbflow.Step, _ *tbfleet.Run) int64 {
 			if s.Fills {
 				return s.Need.MilliProcessors
 			}
-			return 10 + rng.Int64N(25)
+			return 10 + (level+s.Need.MilliProcessors/100)%25
 		})
 	}
 }
@@ -212,3 +214,20 @@
 		})
 	}
 }
+
+// BenchmarkPlanShort makes one plan of the short steps of a busy day over and over.
+func BenchmarkPlanShort(b *testing.B) {
+	for _, workers := range busySizes {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			day, rng := busyDay(b, workers)
+			day.waitingSteps(rng, 200)
+			placed := 0
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				placed += len(PlanShort(day.now, day.state, day.fleet, day.learn, day.group, 256))
+			}
+			b.ReportMetric(float64(placed)/float64(b.N), "tasks/plan")
+		})
+	}
+}
--- a/core/tbassign/same_test.go
+++ b/core/tbassign/same_test.go
@@ -146,3 +146,36 @@
 	t.Logf("%d runs placed", placed)
 	qt.Check(t, placed > 20_000, qt.IsTrue)
 }
+
+// While filling work has the lowest priority, a plan of short steps is the beginning of
+// the plan of everything.
+func TestShortPlanIsTheBeginningOfTheFullOne(t *testing.T) {
+	placed := 0
+	for seed := range uint64(120) {
+		d := newRandomDay(t, seed)
+		config := tbflow.Config{Version: 3, Queues: slices.Clone(d.state.Config.Queues)}
+		for i := range config.Queues {
+			config.Queues[i].Priority = d.rng.IntN(2)
+			if config.Queues[i].Name == "fill" {
+				config.Queues[i].Priority = 2
+			}
+		}
+		d.commit(tbflow.PutConfig{Config: config})
+		for round := range 30 {
+			d.now = d.now.Add(time.Duration(d.rng.IntN(400)) * time.Millisecond)
+			d.commit(tbflow.PutConfig{})
+			for range d.rng.IntN(4) {
+				d.submitSome()
+			}
+			d.endSome()
+			runs := Plan(d.now, d.state, d.fleet, d.learn, d.group, 1000)
+			urgent := PlanShort(d.now, d.state, d.fleet, d.learn, d.group, 1000)
+			begins := len(urgent) <= len(runs) && slices.Equal(urgent, runs[:len(urgent)])
+			qt.Assert(t, begins, qt.IsTrue, qt.Commentf("seed %d, round %d: %v, all %v", seed, round, urgent, runs))
+			placed += len(urgent)
+			d.commit(tbflow.Assign{Runs: runs})
+		}
+	}
+	t.Logf("%d runs placed", placed)
+	qt.Check(t, placed > 2000, qt.IsTrue)
+}
--- /dev/null
+++ b/core/tbassign/urgent.go
@@ -0,0 +1,128 @@
+package tbassign
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"tamarackbarrow/core/tbfleet"
+	"tamarackbarrow/core/tbflow"
+)
+
+// Load pattern: short jobs, whose slack is a fraction of a second, arrive beside bursts of
+// filling jobs on hundreds of workers. To weigh filling work against what lasting tasks
+// bear, and to order a few hundred runs of it, takes the leader longer than that slack.
+// Short steps are placed by what is free alone, as soon as they may start; everything
+// else is placed now and then, a bounded number of runs at a time, since filling work
+// that starts some hundredths of a second later loses next to nothing.
+
+// Bounds of the plans of everything.
+const (
+	// fullRuns is the most runs of one plan of everything: what orders them keeps short steps waiting.
+	fullRuns = 64
+	// shortRuns is the most runs of one plan of short steps.
+	shortRuns = 256
+	// leastFullPause and fullPauseOf, for each worker, are the time between two plans of
+	// everything, so that these take about the same share of the leader's time on any fleet.
+	leastFullPause = 15 * time.Millisecond
+	fullPauseOf    = 100 * time.Microsecond
+)
+
+// Planner decides what each plan considers.
+type Planner struct {
+	nextFull time.Time
+}
+
+// NextFull returns when the next plan of everything may be made.
+func (p *Planner) NextFull() time.Time { return p.nextFull }
+
+// Next returns the runs that should start now and whether all steps were considered.
+func (p *Planner) Next(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer) ([]tbflow.Assignment, bool) {
+	if now.Before(p.nextFull) {
+		return PlanShort(now, s, f, l, g, shortRuns), false
+	}
+	p.nextFull = now.Add(max(leastFullPause, time.Duration(len(s.Workers))*fullPauseOf))
+	return Plan(now, s, f, l, g, fullRuns), true
+}
+
+// PlanShort returns the runs of short steps that should start now, which Plan would put first.
+func PlanShort(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer, limit int) []tbflow.Assignment {
+	steps := urgentSteps(s, l)
+	if len(steps) == 0 {
+		return nil
+	}
+	return newPools(now, s, f, l, g).placeAll(steps, limit)
+}
+
+// short reports whether a step neither fills nor lasts.
+func short(step *tbflow.Step) bool { return !step.Fills && !step.Lasting }
+
+func hasShort(j *tbflow.Job) bool {
+	for i := range j.Steps {
+		if short(&j.Steps[i]) {
+			return true
+		}
+	}
+	return false
+}
+
+// urgentSteps returns the short steps that can be on time, in the order in which they
+// should start, without those before which others that reserve processors should.
+func urgentSteps(s *tbflow.State, l *Learner) []*waitingStep {
+	var steps []*waitingStep
+	lowest, first := math.MinInt, math.MaxInt
+	for _, j := range s.Active() {
+		if !hasShort(j) {
+			continue
+		}
+		for k := range j.Tasks {
+			if j.DueMs(k) > s.NowMs {
+				continue
+			}
+			for _, w := range waitingOf(s, l, j, k) {
+				switch {
+				case !short(w.step):
+				case w.lateness == onTime:
+					steps = append(steps, &w)
+					lowest = max(lowest, j.Priority)
+				default:
+					first = min(first, j.Priority)
+				}
+			}
+		}
+	}
+	first = min(first, firstLasting(s, lowest))
+	steps = slices.DeleteFunc(steps, func(w *waitingStep) bool { return w.job.Priority > first })
+	slices.SortStableFunc(steps, func(a, b *waitingStep) int { return compareWaiting(*a, *b) })
+	return steps
+}
+
+// firstLasting returns the first priority before a bound in which a lasting step waits.
+func firstLasting(s *tbflow.State, before int) int {
+	first := math.MaxInt
+	for _, j := range s.Active() {
+		if j.Priority >= min(before, first) {
+			continue
+		}
+		for k := range j.Tasks {
+			if j.DueMs(k) <= s.NowMs && waitsLasting(j, k) {
+				first = j.Priority
+			}
+		}
+	}
+	return first
+}
+
+func waitsLasting(j *tbflow.Job, k int) bool {
+	for i := range j.Steps {
+		if !j.Steps[i].Lasting || !j.StepReady(k, i) {
+			continue
+		}
+		for n := range j.Tasks[k][i] {
+			if j.Tasks[k][i][n].Phase == tbflow.TaskWaiting {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/core/tbcontrol/flow.go
+++ b/core/tbcontrol/flow.go
@@ -15,6 +15,7 @@
 	fleet     *tbfleet.Fleet
 	learner   *tbassign.Learner
 	rebalance *tbassign.Rebalancer
+	planner   tbassign.Planner
 	group     groupKeeper
 	// submitting holds the jobs whose acceptance is proposed: they may run and are not turned away.
 	submitting map[string]bool
@@ -25,7 +26,7 @@
 	nextTick time.Time
 	// nextSlopes is when what was learned of images is recorded next.
 	nextSlopes time.Time
-	// planAt is the earliest time of the next plan after one that placed nothing.
+	// planAt is the earliest time of the next plan unless something changes for short steps.
 	planAt time.Time
 }
 
@@ -35,10 +36,6 @@
 	flowTickInterval = 100 * time.Millisecond
 	// slopesInterval is how often what was learned of images is recorded; a new leader learns it again in about ten seconds.
 	slopesInterval = 2 * time.Second
-	// planPause follows a plan that placed nothing: what waits then waits for ends, which come many at a time.
-	planPause = 15 * time.Millisecond
-	// maxAssignments bounds one plan.
-	maxAssignments = 256
 )
 
 func newFlowLead(c *Control, now time.Time) *flowLead {
@@ -207,8 +204,10 @@
 	switch command := command.(type) {
 	case tbflow.Submit:
 		delete(l.submitting, command.Job.ID)
+		l.planAt = time.Time{}
 	case tbflow.Assign:
 		l.assigning = false
+		l.planAt = time.Time{}
 	case tbflow.ForgetWorker:
 		if l.fleet.Worker(command.Worker) == nil {
 			l.learner.Forget(command.Worker)
@@ -216,6 +215,7 @@
 	case tbflow.Cancel:
 		l.stopRuns(now, c.state.Flow.Jobs[command.ID])
 	case tbflow.NoteEnds:
+		l.planAt = time.Time{}
 		for _, e := range command.Ends {
 			l.learnRunTime(c.state.Flow, e)
 			if j := c.state.Flow.Jobs[e.Ref.Job]; j != nil && j.Phase.Ended() {
@@ -305,11 +305,11 @@
 	if !l.stale || l.assigning || now.Before(l.planAt) {
 		return
 	}
-	l.stale = false
-	l.planAt = now.Add(planPause)
-	if runs := tbassign.Plan(now, c.state.Flow, l.fleet, l.learner, l.rebalance, maxAssignments); len(runs) > 0 {
+	runs, all := l.planner.Next(now, c.state.Flow, l.fleet, l.learner, l.rebalance)
+	// What was not considered waits for the next plan of everything.
+	l.stale, l.planAt = !all, l.planner.NextFull()
+	if len(runs) > 0 {
 		l.assigning = true
-		l.planAt = time.Time{}
 		c.proposeFlow(tbflow.Assign{Runs: runs})
 	}
 }
