--- a/core/tbassign/urgent_test.go
+++ b/core/tbassign/urgent_test.go
@@ -40,9 +40,8 @@
 }
 
 type ending struct {
-	at     time.Time
-	run    tbflow.Assignment
-	filled bool
+	at  time.Time
+	run tbflow.Assignment
 }
 
 // shortBesideBurst is ten seconds of short jobs, one every 70 ms, with a burst of filling jobs in them.
