Learn from a look and set its paces in half the time

What callers saw: as before; at 350 workers about 700 looks a second and the starts of filling tasks besides set paces.

Cause: each change of margin went over a map of weights once for each filling image, and each pace that was tried looked up the slopes of all pairs by name.

Weights are a list, and the effects of the images on the tasks of a worker are looked up once for all paces. A pair of changes at one figure still adds up; TestNextLeaderStartsFromWhatWasLearned only passes the weights as a list.

--- a/core/tbassign/assign_test.go
+++ b/core/tbassign/assign_test.go
@@ -286,8 +286,8 @@
 	l := NewLearner()
 	m := l.slopesOf("watch")
 	for range 200 {
-		m.observe(map[int]float64{m.figure("bad"): 0.2}, -1.4)
-		m.observe(map[int]float64{m.figure("good"): 0.2}, 0)
+		m.observe([]weight{{m.figure("bad"), 0.2}}, -1.4)
+		m.observe([]weight{{m.figure("good"), 0.2}}, 0)
 	}
 	m.figure("unseen")
 	qt.Check(t, l.Slopes(), qt.HasLen, 2)
--- a/core/tbassign/contention.go
+++ b/core/tbassign/contention.go
@@ -74,14 +74,30 @@
 	return margin
 }
 
-// balance is the filling work done less what the lasting tasks lose by it, in processors.
-func (c *contention) benefit() float64 {
+// effects returns what each filling image at full pace does to the margin of each lasting
+// task, by task and then by image.
+func (c *contention) effects() []float64 {
+	all := make([]float64, 0, len(c.tasks)*len(c.fills))
+	for _, t := range c.tasks {
+		for _, f := range c.fills {
+			all = append(all, c.slope(t, f.image)*f.share)
+		}
+	}
+	return all
+}
+
+// benefit is the filling work done less what the lasting tasks lose by it, in processors.
+func (c *contention) benefit(effects []float64) float64 {
 	sum := 0.0
 	for _, f := range c.fills {
 		sum += f.processors * f.pace
 	}
-	for _, t := range c.tasks {
-		sum -= overCost * risk(c.margin(t))
+	for i, t := range c.tasks {
+		margin := t.clean
+		for k, effect := range effects[i*len(c.fills) : (i+1)*len(c.fills)] {
+			margin += effect * c.fills[k].pace
+		}
+		sum -= overCost * risk(margin)
 	}
 	return sum
 }
@@ -89,18 +105,19 @@
 // paceLevels are the paces that are tried.
 var paceLevels = [...]float64{0, 0.15, 0.3, 0.5, 0.75, 1}
 
-// settle sets the paces with the best balance, one image after the other.
+// optimize sets the paces with the best balance, one image after the other.
 func (c *contention) optimize() {
 	for i := range c.fills {
 		c.fills[i].pace = 1
 	}
+	effects := c.effects()
 	const rounds = 2
 	for range rounds {
 		for i := range c.fills {
 			best, bestPace := math.Inf(-1), 1.0
 			for _, pace := range paceLevels {
 				c.fills[i].pace = pace
-				if sum := c.benefit(); sum >= best {
+				if sum := c.benefit(effects); sum >= best {
 					best, bestPace = sum, pace
 				}
 			}
--- a/core/tbassign/harm.go
+++ b/core/tbassign/harm.go
@@ -66,25 +66,34 @@
 	return i
 }
 
+// weight is by how much the use of one filling image changed.
+type weight struct {
+	figure int
+	change float64
+}
+
 // observe takes one change of margin, to which the weighted slopes should add up.
-func (m *slopes) observe(weights map[int]float64, change float64) {
+func (m *slopes) observe(weights []weight, change float64) {
 	n := len(m.mean)
 	gain := make([]float64, n)
 	expected, variance := 0.0, changeVariance
 	for i := range n {
-		m.cov[i][i] = min(priorVariance, m.cov[i][i]+driftVariance)
-		for j, x := range weights {
-			gain[i] += m.cov[i][j] * x
+		row := m.cov[i]
+		row[i] = min(priorVariance, row[i]+driftVariance)
+		for _, w := range weights {
+			gain[i] += row[w.figure] * w.change
 		}
 	}
-	for i, x := range weights {
-		expected += m.mean[i] * x
-		variance += gain[i] * x
+	for _, w := range weights {
+		expected += m.mean[w.figure] * w.change
+		variance += gain[w.figure] * w.change
 	}
-	for i := range n {
-		m.mean[i] += gain[i] / variance * (change - expected)
-		for j := range n {
-			m.cov[i][j] -= gain[i] * gain[j] / variance
+	less := 1 / variance
+	for i, g := range gain {
+		m.mean[i] += g / variance * (change - expected)
+		row := m.cov[i]
+		for j, other := range gain {
+			row[j] -= g * other * less
 		}
 	}
 }
@@ -200,12 +209,14 @@
 
 func (l *Learner) learnChange(lasting string, before, after map[string]float64, change float64) {
 	m := l.slopesOf(lasting)
-	weights := map[int]float64{}
+	weights := make([]weight, 0, len(before)+len(after))
 	for image, use := range after {
-		weights[m.figure(image)] += use
+		weights = append(weights, weight{m.figure(image), use - before[image]})
 	}
 	for image, use := range before {
-		weights[m.figure(image)] -= use
+		if _, ok := after[image]; !ok {
+			weights = append(weights, weight{m.figure(image), -use})
+		}
 	}
 	if len(weights) > 0 {
 		m.observe(weights, change)
