Keep the order of the workers, and build rooms in one allocation

What callers saw: as before.

Cause: each plan, each admission and each tick put the ids of all workers in order anew (half of an admission's time, a sixth of a short plan's), and each room was allocated by itself.

Workers keeps the order for as long as it has exactly the present ids.

--- a/core/tbassign/plan.go
+++ b/core/tbassign/plan.go
@@ -47,16 +47,21 @@
 // newPools returns the rooms with what is free in them; weigh adds the rest.
 func newPools(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer) *pools {
 	p := &pools{
-		state: s, learner: l, rebalancer: g, now: now, classes: map[string][]*room{}, byWorker: map[string]*room{},
+		state: s, learner: l, rebalancer: g, now: now, classes: map[string][]*room{}, byWorker: make(map[string]*room, len(s.Workers)),
 		counted: map[stepRef]bool{},
 	}
-	for _, w := range f.Workers() {
+	workers := f.Workers()
+	rooms := make([]room, 0, len(workers))
+	for _, w := range workers {
 		if !f.Usable(w, now) {
 			continue
 		}
 		use := s.Use(w.ID)
-		r := &room{worker: w, index: len(p.classes[w.Class]), free: w.Capacity.Sub(use.Reserved)}
-		r.unused = w.Capacity.MilliProcessors - use.FillProcessors
+		rooms = append(rooms, room{
+			worker: w, index: len(p.classes[w.Class]), free: w.Capacity.Sub(use.Reserved),
+			unused: w.Capacity.MilliProcessors - use.FillProcessors,
+		})
+		r := &rooms[len(rooms)-1]
 		p.classes[w.Class] = append(p.classes[w.Class], r)
 		p.byWorker[w.ID] = r
 	}
--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -15,7 +15,9 @@
 	workers map[string]*Worker
 	// failing names the worker on which each failing job failed first.
 	failing map[string]string
-	out     Output
+	// order holds the ids of all workers in order, once it was needed.
+	order []string
+	out   Output
 }
 
 // Worker is the leader's view of one life of a worker.
@@ -175,13 +177,30 @@
 
 // Workers returns all known workers in order of their ids.
 func (f *Fleet) Workers() []*Worker {
-	var all []*Worker
-	for _, id := range slices.Sorted(maps.Keys(f.workers)) {
-		if w := f.workers[id]; w.known {
+	all, complete := f.inOrder()
+	if !complete {
+		f.order = slices.Sorted(maps.Keys(f.workers))
+		all, _ = f.inOrder()
+	}
+	return all
+}
+
+// inOrder returns the known workers by the order as it is, and whether that has all workers and no other.
+func (f *Fleet) inOrder() ([]*Worker, bool) {
+	if len(f.order) != len(f.workers) {
+		return nil, false
+	}
+	all := make([]*Worker, 0, len(f.order))
+	for _, id := range f.order {
+		w := f.workers[id]
+		if w == nil {
+			return nil, false
+		}
+		if w.known {
 			all = append(all, w)
 		}
 	}
-	return all
+	return all, true
 }
 
 // forgetAfter is the silence after which a worker without runs is forgotten.
