--- a/core/tbassign/assign_test.go
+++ b/core/tbassign/assign_test.go
@@ -15,7 +15,7 @@
 
 // bench is a state and a fleet of instances of 32 processors.
 type bench struct {
-	t     *testing.T
+	t     testing.TB
 	now   time.Time
 	state *tbflow.State
 	fleet *tbfleet.Fleet
@@ -24,7 +24,7 @@
 	seq   map[string]uint64
 }
 
-func newBench(t *testing.T, workers int) *bench {
+func newBench(t testing.TB, workers int) *bench {
 	b := &bench{
 		t: t, now: time.UnixMilli(1_700_000_000_000), state: tbflow.New(), learn: NewLearner(), group: NewRebalancer(), seq: map[string]uint64{},
 		fleet: tbfleet.New(tbfleet.Terms{
@@ -321,8 +321,8 @@
 	l := NewLearner()
 	m := l.slopesOf("watch")
 	for range 200 {
-		m.observe(map[int]float64{m.figure("bad"): 0.2}, -1.4)
-		m.observe(map[int]float64{m.figure("good"): 0.2}, 0)
+		m.observe([]weight{{m.figure("bad"), 0.2}}, -1.4)
+		m.observe([]weight{{m.figure("good"), 0.2}}, 0)
 	}
 	m.figure("unseen")
 	qt.Check(t, l.Slopes(), qt.HasLen, 2)
--- a/core/tbassign/contention.go
+++ b/core/tbassign/contention.go
@@ -74,14 +74,30 @@
 	return margin
 }
 
-// balance is the filling work done less what the lasting tasks lose by it, in processors.
-func (c *contention) benefit() float64 {
+// effects returns what each filling image at full pace does to the margin of each lasting
+// task, by task and then by image.
+func (c *contention) effects() []float64 {
+	all := make([]float64, 0, len(c.tasks)*len(c.fills))
+	for _, t := range c.tasks {
+		for _, f := range c.fills {
+			all = append(all, c.slope(t, f.image)*f.share)
+		}
+	}
+	return all
+}
+
+// benefit is the filling work done less what the lasting tasks lose by it, in processors.
+func (c *contention) benefit(effects []float64) float64 {
 	sum := 0.0
 	for _, f := range c.fills {
 		sum += f.processors * f.pace
 	}
-	for _, t := range c.tasks {
-		sum -= overCost * risk(c.margin(t))
+	for i, t := range c.tasks {
+		margin := t.clean
+		for k, effect := range effects[i*len(c.fills) : (i+1)*len(c.fills)] {
+			margin += effect * c.fills[k].pace
+		}
+		sum -= overCost * risk(margin)
 	}
 	return sum
 }
@@ -89,18 +105,19 @@
 // paceLevels are the paces that are tried.
 var paceLevels = [...]float64{0, 0.15, 0.3, 0.5, 0.75, 1}
 
-// settle sets the paces with the best balance, one image after the other.
+// optimize sets the paces with the best balance, one image after the other.
 func (c *contention) optimize() {
 	for i := range c.fills {
 		c.fills[i].pace = 1
 	}
+	effects := c.effects()
 	const rounds = 2
 	for range rounds {
 		for i := range c.fills {
 			best, bestPace := math.Inf(-1), 1.0
 			for _, pace := range paceLevels {
 				c.fills[i].pace = pace
-				if sum := c.benefit(); sum >= best {
+				if sum := c.benefit(effects); sum >= best {
 					best, bestPace = sum, pace
 				}
 			}
@@ -112,30 +129,7 @@
 // contentionOf returns the tasks of a worker at full pace, as far as counts accepts the
 // filling ones; margins are those of the last look.
 func (l *Learner) contentionOf(s *tbflow.State, w *tbfleet.Worker, counts func(*tbfleet.Run) bool) *contention {
-	c := &contention{learner: l, tasks: l.tails(s, w)}
-	w.EachRun(func(ref tbflow.TaskRef, r *tbfleet.Run) {
-		if step := s.StepOf(ref); step != nil && step.Fills && counts(r) {
-			c.add(step, w)
-		}
-	})
-	slices.SortFunc(c.fills, func(a, b fillingShare) int { return cmp.Compare(a.image, b.image) })
-	return c
-}
-
-// add counts one more filling task.
-func (c *contention) add(step *tbflow.Step, w *tbfleet.Worker) {
-	i := slices.IndexFunc(c.fills, func(f fillingShare) bool { return f.image == step.Image })
-	if i < 0 {
-		i = len(c.fills)
-		c.fills = append(c.fills, fillingShare{image: step.Image, pace: 1})
-	}
-	c.fills[i].share += share(step.Need.MilliProcessors, w)
-	c.fills[i].processors += float64(step.Need.MilliProcessors) / 1000
-}
-
-// tails returns the lasting tasks of a worker with their margins.
-func (l *Learner) tails(s *tbflow.State, w *tbfleet.Worker) []lastingTail {
-	var all []lastingTail
+	c := &contention{learner: l}
 	look := l.looks[w.ID]
 	used := 0.0
 	for _, use := range look.uses {
@@ -143,7 +137,13 @@
 	}
 	w.EachRun(func(ref tbflow.TaskRef, r *tbfleet.Run) {
 		step := s.StepOf(ref)
-		if step == nil || !step.Lasting || step.TailTarget <= 0 {
+		if step == nil {
+			return
+		}
+		if step.Fills && counts(r) {
+			c.add(step, w)
+		}
+		if !step.Lasting || step.TailTarget <= 0 {
 			return
 		}
 		tail := lastingTail{image: step.Image, clean: usualMargin}
@@ -153,24 +153,19 @@
 				tail.unexplained = (aloneMargin - clean) / used
 			}
 		}
-		all = append(all, tail)
+		c.tasks = append(c.tasks, tail)
 	})
-	return all
+	slices.SortFunc(c.fills, func(a, b fillingShare) int { return cmp.Compare(a.image, b.image) })
+	return c
 }
 
-// bears reports whether the lasting tasks of a room bear another filling task.
-func (p *pools) bears(r *room, step *tbflow.Step) bool {
-	if p.learner.worstSlope(r.lasting, step.Image) > harmlessSlope {
-		return true
-	}
-	if r.contention == nil {
-		r.contention = p.learner.contentionOf(p.state, r.worker, func(run *tbfleet.Run) bool { return run.Phase != tbfleet.RunEnding })
-	}
-	more := share(step.Need.MilliProcessors, r.worker)
-	for _, t := range r.contention.tasks {
-		if r.contention.margin(t)+r.contention.slope(t, step.Image)*more < startMargin {
-			return false
-		}
+// add counts one more filling task.
+func (c *contention) add(step *tbflow.Step, w *tbfleet.Worker) {
+	i := slices.IndexFunc(c.fills, func(f fillingShare) bool { return f.image == step.Image })
+	if i < 0 {
+		i = len(c.fills)
+		c.fills = append(c.fills, fillingShare{image: step.Image, pace: 1})
 	}
-	return true
+	c.fills[i].share += share(step.Need.MilliProcessors, w)
+	c.fills[i].processors += float64(step.Need.MilliProcessors) / 1000
 }
