--- a/core/tbassign/assign_test.go
+++ b/core/tbassign/assign_test.go
@@ -15,7 +15,7 @@
 
 // bench is a state and a fleet of instances of 32 processors.
 type bench struct {
-	t     *testing.T
+	t     testing.TB
 	now   time.Time
 	state *tbflow.State
 	fleet *tbfleet.Fleet
@@ -24,7 +24,7 @@
 	seq   map[string]uint64
 }
 
-func newBench(t *testing.T, workers int) *bench {
+func newBench(t testing.TB, workers int) *bench {
 	b := &bench{
 		t: t, now: time.UnixMilli(1_700_000_000_000), state: tbflow.New(), learn: NewLearner(), group: NewRebalancer(), seq: map[string]uint64{},
 		fleet: tbfleet.New(tbfleet.Terms{
@@ -110,6 +110,41 @@
 	}
 }
 
+// A lasting task lost its place on a full day, and short jobs keep coming: each plan filled
+// every gap with them first, and the task was away for ten seconds and more.
+func TestLastingTaskThatWaitsForLongGoesBeforeShortJobs(t *testing.T) {
+	b := newBench(t, 1)
+	b.submit("watch", "w1", watcher(4, "a"))
+	watchers := b.plan()
+	qt.Assert(t, watchers, qt.HasLen, 4)
+	end := func(r tbflow.Assignment, kind tbflow.EndKind) {
+		c := tbflow.NoteEnds{Worker: r.Worker, Born: 1, Ends: []tbflow.End{{Ref: r.Ref, Run: r.Run, Kind: kind}}}
+		b.state.Apply(b.now.UnixMilli(), c)
+		b.fleet.Applied(b.now, b.state, c)
+	}
+	short := func(n int) {
+		b.submit("short", fmt.Sprintf("s%d", n), tbflow.Step{Count: 2, Need: need(4), Estimate: 500 * time.Millisecond})
+	}
+	short(0)
+	running := b.plan()
+	end(watchers[0], tbflow.EndStopped)
+	lost := b.state.Jobs["w1"].Task(watchers[0].Ref)
+	for i := range 6 {
+		short(i + 1)
+		running = append(running, b.plan()...)
+		if lost.Phase == tbflow.TaskAssigned {
+			break
+		}
+		b.now = b.now.Add(400 * time.Millisecond)
+		b.state.Apply(b.now.UnixMilli(), tbflow.PutConfig{})
+		for _, r := range running[:2] {
+			end(r, tbflow.EndDone)
+		}
+		running = running[2:]
+	}
+	qt.Check(t, lost.Phase, qt.Equals, tbflow.TaskAssigned)
+}
+
 // Lasting tasks arrive faster than they end: a share of each instance stays free for
 // short jobs, though nothing waits at the moment.
 func TestLastingTasksLeaveRoomForShortOnes(t *testing.T) {
@@ -286,8 +321,8 @@
 	l := NewLearner()
 	m := l.slopesOf("watch")
 	for range 200 {
-		m.observe(map[int]float64{m.figure("bad"): 0.2}, -1.4)
-		m.observe(map[int]float64{m.figure("good"): 0.2}, 0)
+		m.observe([]weight{{m.figure("bad"), 0.2}}, -1.4)
+		m.observe([]weight{{m.figure("good"), 0.2}}, 0)
 	}
 	m.figure("unseen")
 	qt.Check(t, l.Slopes(), qt.HasLen, 2)
--- a/core/tbcontrol/control.go
+++ b/core/tbcontrol/control.go
@@ -128,6 +128,8 @@
 		c.planFlow(now)
 		c.takeFleetOutput(now)
 		c.proposeWaiting(now)
+	case DeliveryFailed:
+		c.replica.Undelivered(ev.To)
 	case StopBegun:
 		c.replica.Transfer(now)
 	case StorageFailed:
--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -19,7 +19,9 @@
 	droppedAt map[string]time.Time
 	// failing names the worker on which each failing job failed first.
 	failing map[string]string
-	out     Output
+	// order holds the ids of all workers in order, once it was needed.
+	order []string
+	out   Output
 }
 
 // Worker is the leader's view of one life of a worker.
@@ -189,13 +191,30 @@
 
 // Workers returns all known workers in order of their ids.
 func (f *Fleet) Workers() []*Worker {
-	var all []*Worker
-	for _, id := range slices.Sorted(maps.Keys(f.workers)) {
-		if w := f.workers[id]; w.known {
+	all, complete := f.inOrder()
+	if !complete {
+		f.order = slices.Sorted(maps.Keys(f.workers))
+		all, _ = f.inOrder()
+	}
+	return all
+}
+
+// inOrder returns the known workers by the order as it is, and whether that has all workers and no other.
+func (f *Fleet) inOrder() ([]*Worker, bool) {
+	if len(f.order) != len(f.workers) {
+		return nil, false
+	}
+	all := make([]*Worker, 0, len(f.order))
+	for _, id := range f.order {
+		w := f.workers[id]
+		if w == nil {
+			return nil, false
+		}
+		if w.known {
 			all = append(all, w)
 		}
 	}
-	return all
+	return all, true
 }
 
 // forgetAfter is the silence after which a worker without runs is forgotten.
@@ -261,24 +280,21 @@
 
 // Left notes that a worker has ended after it drained.
 //
-// The message does not name the life; one that does not drain came to life afterwards.
+// The message does not name the life; one that does not drain came to life afterwards. A
+// worker that is not answered runs on for a while, so that its lease has to end first.
 func (f *Fleet) Left(now time.Time, id string) {
 	if w := f.workers[id]; w != nil && w.Draining {
-		f.ended(now, w, "it signed off")
+		f.out.Notes = append(f.out.Notes, Note{What: "worker signs off", Worker: id, Inputs: w.leaseInputs(now)})
+		w.known = false
+		f.tend(now, w)
 	}
 }
 
 // replace gives up all runs of a worker whose address another one has.
 func (f *Fleet) replace(now time.Time, w *Worker) {
-	w.replaced = true
-	f.ended(now, w, "another worker answers at its address")
-}
-
-// ended gives up all runs of a life that has surely ended.
-func (f *Fleet) ended(now time.Time, w *Worker, why string) {
-	w.known = false
+	w.replaced, w.known = true, false
 	w.lapsesAt = now
-	f.lose(now, w, why)
+	f.lose(now, w, "another worker answers at its address")
 }
 
 // lose gives up the runs of a worker whose lease has ended.
--- a/io/tbdaemon/config.go
+++ b/io/tbdaemon/config.go
@@ -20,7 +20,8 @@
 
 // Sizes and times that settings do not change.
 const (
-	maxAppendBytes   = 1 << 20
+	maxAppendBytes   = 64 << 10
+	maxInFlightBytes = 256 << 10
 	snapshotChunk    = 256 << 10
 	shareInterval    = 250 * time.Millisecond
 	planInterval     = 50 * time.Millisecond
@@ -63,8 +64,8 @@
 	cfg := tbcontrol.Config{
 		Consensus: tbconsensus.Config{
 			ID: s.ReplicaID, ElectionTimeout: s.Times.ElectionTimeout, HeartbeatInterval: s.Times.Heartbeat,
-			ClockRateBound: s.Times.ClockRateBound, MaxBatchBytes: maxAppendBytes, ChunkBytes: snapshotChunk,
-			Seed: seed, Join: s.Join,
+			ClockRateBound: s.Times.ClockRateBound, MaxBatchBytes: maxAppendBytes, MaxInFlightBytes: maxInFlightBytes,
+			ChunkBytes: snapshotChunk, Seed: seed, Join: s.Join,
 		},
 		EntryLease: entryLease(s.Times), TaskLease: taskLease(s.Times),
 		BackendSilence: s.Times.BackendSilence, DeliveryMargin: s.Times.DeliveryMargin,
@@ -74,7 +75,7 @@
 		Share:     tbshare.Policy{BaseWeight: 2, Tolerance: 0.1},
 		Placement: placement,
 		Fleet: tbfleet.Terms{
-			Lease: s.Workers.Lease, LongestLease: s.Workers.LongestLease, LongestDelay: s.Workers.LongestDelay, ClockRateBound: s.Workers.ClockRateBound,
+			Lease: s.Workers.Lease, LongestLease: s.Workers.LongestLease, LongestDelay: s.Workers.LongestDelay + longestHold(s), ClockRateBound: s.Workers.ClockRateBound,
 			LookWait: s.Workers.LookWait, OrderTimeout: s.Workers.OrderTimeout,
 			HeartbeatSilence: s.Workers.HeartbeatSilence, RetryPause: workerRetryPause,
 		},
@@ -93,3 +94,7 @@
 
 // equalShareWeight makes any measured demand vanish beside it.
 const equalShareWeight = 1e9
+
+// longestHold is how long an order may be held back by a leader that is not confirmed: it
+// checks its quorum once in an election timeout.
+func longestHold(s tbsettings.Settings) time.Duration { return 2 * s.Times.ElectionTimeout }
