--- a/core/tbfleet/faults_fake_test.go
+++ b/core/tbfleet/faults_fake_test.go
@@ -183,13 +183,14 @@
 	})
 }
 
-// leave ends a life that drained; its last word may be lost, late, or come twice.
+// leave lets a life that drained sign off and end, at once or a little later; its last word may
+// be lost, late, or come twice.
 func (w *world) leave(fw *fakeWorker) {
-	if w.hosts[fw.address] != fw {
+	if w.hosts[fw.address] != fw || fw.leaving {
 		return
 	}
-	w.note("%s/%d leaves", fw.id, fw.born)
-	w.end(fw)
+	w.note("%s/%d signs off", fw.id, fw.born)
+	fw.leaving = true
 	for range 1 + w.rng.IntN(2) {
 		delay := w.trip(slowAnswer)
 		switch {
@@ -200,12 +201,23 @@
 		}
 		w.after(delay, func() {
 			if w.confirmed(w.leader) {
-				w.note("%s signs off", fw.id)
+				w.note("leader hears that %s signs off", fw.id)
 				w.leader.fleet.Left(w.now, fw.id)
 			}
 		})
 	}
-	w.comeBack(fw, w.between(time.Second, 6*time.Second))
+	var runsOn time.Duration
+	if w.rng.IntN(3) == 0 {
+		runsOn = w.between(0, 3*time.Second)
+	}
+	w.lasts(runsOn)
+	w.after(runsOn, func() {
+		if w.hosts[fw.address] == fw {
+			w.note("%s/%d ends", fw.id, fw.born)
+			w.end(fw)
+			w.comeBack(fw, w.between(time.Second, 6*time.Second))
+		}
+	})
 }
 
 // disturbRun stops a run so that it moves, or gives it up as one that stands still.
--- a/core/tbfleet/network_fake_test.go
+++ b/core/tbfleet/network_fake_test.go
@@ -197,6 +197,9 @@
 
 // report lets a worker say of itself what it is; some reports come late, also after their sender's end.
 func (w *world) report(fw *fakeWorker) {
+	if fw.leaving {
+		return
+	}
 	fw.sequence++
 	r := tbfleet.Report{
 		ID: fw.id, Address: fw.address, Born: fw.born, Class: "c", ClockMs: fw.clock(w.now),
--- a/core/tbfleet/worker_fake_test.go
+++ b/core/tbfleet/worker_fake_test.go
@@ -50,6 +50,8 @@
 	// draining is true once it is about to leave; drainingAcked is when that was acknowledged.
 	draining      bool
 	drainingAcked time.Time
+	// leaving is true once it has signed off.
+	leaving bool
 	// judge is told of each start, end and noted end, unless it is nil.
 	judge *judge
 }
