--- a/core/tbfleet/faults_fake_test.go
+++ b/core/tbfleet/faults_fake_test.go
@@ -49,14 +49,19 @@
 	}
 }
 
-// strikeTogether changes the leader while orders are carried out late, and cuts workers off afterwards.
+// strikeTogether changes the leader while orders are carried out late, and cuts workers off
+// afterwards; where only the new leader does not reach them, the one that thaws does.
 func (w *world) strikeTogether() {
 	w.stormUntil = w.now.Add(6 * time.Second)
 	w.freezeLeader(w.between(time.Second, 5*time.Second))
 	w.after(w.between(time.Second, 4*time.Second), func() {
+		c := cut{orders: true, answers: true}
+		if w.rng.IntN(2) == 0 {
+			c.term = w.leader.term
+		}
 		for _, a := range w.addresses {
 			if w.rng.IntN(2) == 0 {
-				w.cutWorker(a, w.between(7*time.Second, 20*time.Second))
+				w.cutAt(a, w.between(7*time.Second, 20*time.Second), c)
 			}
 		}
 	})
@@ -100,7 +105,7 @@
 
 // cutWorker cuts a worker off from all leaders or the present one, both ways or one way.
 func (w *world) cutWorker(address string, d time.Duration) {
-	c := cut{until: w.now.Add(d), orders: true, answers: true}
+	c := cut{orders: true, answers: true}
 	switch w.rng.IntN(6) {
 	case 0:
 		c.orders = false
@@ -109,6 +114,11 @@
 	case 2:
 		c.term = w.leader.term
 	}
+	w.cutAt(address, d, c)
+}
+
+func (w *world) cutAt(address string, d time.Duration, c cut) {
+	c.until = w.now.Add(d)
 	w.note("%s is cut off for %v: %+v", address, d, c)
 	w.cuts[address] = c
 	w.lasts(d)
