--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -13,6 +13,8 @@
 	terms   Terms
 	token   uint64
 	workers map[string]*Worker
+	// lives counts the restarts of workers under their ids that this leader saw.
+	lives uint64
 	// failing names the worker on which each failing job failed first.
 	failing map[string]string
 	out     Output
@@ -37,18 +39,18 @@
 	// replaced is true once another worker has the address: it refuses orders that name this
 	// one, and an id that was replaced does not come back.
 	replaced bool
-	// lives counts the restarts under the same id that this leader saw.
+	// lives is the fleet's count of lives at this life's first order; it never falls, also
+	// when the worker was forgotten in between.
 	lives uint64
 	// lastOrder is when the last start was ordered from any life.
 	lastOrder time.Time
 	// fence is true until a look has fenced off orders that were meant for an earlier life.
 	fence bool
-	// clockMs is the worker's clock as it was reported at clockAt.
-	clockMs int64
-	clockAt time.Time
-	// leaseEnd is the latest end of the lease that was ordered, on the worker's clock.
+	// clock is the newest reading of the worker's clock.
+	clock clockReading
+	// leaseEnd is the end of the lease that was ordered last, on the worker's clock.
 	leaseEnd int64
-	// lapsesAt is when the lease has surely ended, on the leader's clock.
+	// lapsesAt is when every lease has surely ended that any leader granted, on the leader's clock.
 	lapsesAt time.Time
 	// seen is the last end that is recorded, and proposed the last one that is proposed to be.
 	seen     uint64
@@ -105,8 +107,8 @@
 	RunEnding
 )
 
-// livesBits is the part of a token that counts the lives of a worker under one leader.
-const livesBits = 16
+// livesBits is the part of a token that counts the lives of workers under one leader.
+const livesBits = 20
 
 // FullPace is the pace of a run at its start, in percent.
 const FullPace = 100
@@ -152,7 +154,7 @@
 func (f *Fleet) worker(id string) *Worker {
 	w := f.workers[id]
 	if w == nil {
-		w = &Worker{Report: Report{ID: id}, runs: map[tbflow.TaskRef]*Run{}}
+		w = &Worker{Report: Report{ID: id}, lives: f.lives, runs: map[tbflow.TaskRef]*Run{}}
 		f.workers[id] = w
 	}
 	return w
@@ -199,7 +201,7 @@
 
 // Usable reports whether the worker may get a new task now.
 func (f *Fleet) Usable(w *Worker, now time.Time) bool {
-	return w.known && !w.Draining && !w.Silent && !w.fence &&
+	return w.known && !w.Draining && !w.Silent && !w.fence && w.clock.known() &&
 		now.Sub(w.HeardAt) < f.terms.HeartbeatSilence && !now.Before(w.AvoidUntil)
 }
 
@@ -235,7 +237,7 @@
 	w.Draining = r.Draining || draining
 	w.known = true
 	w.HeardAt = now
-	f.sampleClock(now, w, r.ClockMs)
+	w.clock.take(now, r.ClockMs)
 	f.tend(now, w)
 	return true
 }
@@ -276,7 +278,7 @@
 	}
 	if len(c.Ends) > 0 {
 		f.out.Commands = append(f.out.Commands, c)
-		f.out.Notes = append(f.out.Notes, Note{What: "worker lost", Worker: w.ID, Detail: why})
+		f.out.Notes = append(f.out.Notes, Note{What: "worker lost", Worker: w.ID, Detail: why, Inputs: w.leaseInputs(now)})
 	}
 	for ref, r := range w.runs {
 		if r.born != 0 && r.Phase != RunEnding && now.After(f.settledBy(r)) {
@@ -324,29 +326,34 @@
 		f.out.Commands = append(f.out.Commands, tbflow.NoteEnds{Worker: w.ID, Born: w.Born, Ends: gone})
 		f.out.Notes = append(f.out.Notes, Note{What: "worker restarted", Worker: w.ID, Detail: "its earlier runs have ended"})
 	}
+	f.lives++
 	*w = Worker{
-		Report: r, runs: kept, HeardAt: now, lives: w.lives + 1, lastOrder: w.lastOrder,
+		Report: r, runs: kept, HeardAt: now, lives: f.lives, lastOrder: w.lastOrder,
 		fence: now.Sub(w.lastOrder) < f.terms.LongestDelay,
 	}
 }
 
-func (f *Fleet) sampleClock(now time.Time, w *Worker, clockMs int64) {
-	if clockMs > 0 {
-		w.clockMs, w.clockAt = clockMs, now
+// extend returns the lease's new end on the worker's clock, or 0 while that clock is unknown.
+//
+// An order may be carried out seconds after it was sent, so that the end has to be a time
+// that the worker's clock reaches within the lease: a later one would count from whenever
+// the order is carried out.
+func (f *Fleet) extend(now time.Time, w *Worker) int64 {
+	clockMs, ok := w.clock.atLeast(now, f.terms.ClockRateBound)
+	if !ok {
+		return 0
 	}
+	w.leaseEnd = clockMs + f.terms.Lease.Milliseconds()
+	w.lapsesAt = maxTime(w.lapsesAt, now.Add(f.lapse(f.terms.Lease)))
+	return w.leaseEnd
 }
 
-// clock returns the least time that the worker's clock can show.
-func (f *Fleet) clock(w *Worker, now time.Time) int64 {
-	elapsed := float64(now.Sub(w.clockAt).Milliseconds())
-	return w.clockMs + int64(elapsed*(1-f.terms.ClockRateBound))
-}
-
-// extend returns the lease's new end on the worker's clock.
-func (f *Fleet) extend(now time.Time, w *Worker) int64 {
-	w.leaseEnd = max(w.leaseEnd, f.clock(w, now)+f.terms.Lease.Milliseconds())
-	w.lapsesAt = now.Add(f.lapse(f.terms.Lease + time.Duration(float64(now.Sub(w.clockAt))*f.terms.ClockRateBound)))
-	return w.leaseEnd
+// leaseInputs are what the leader believes of a worker's lease, for the log.
+func (w *Worker) leaseInputs(now time.Time) []any {
+	return []any{
+		"leaseEndMs", w.leaseEnd, "clockMs", w.clock.ms, "clockAgeMs", w.clock.age(now).Milliseconds(),
+		"lapsesInMs", w.lapsesAt.Sub(now).Milliseconds(),
+	}
 }
 
 func (f *Fleet) target(w *Worker) Target {
