Starts and ends of a job share a log line; routine lines are dropped first

The budget of 1,000 lines a second overflowed ten times, and what was dropped was as likely a failure as an ordinary start.

The runs of one job in one log entry share a line; explain tells them one by one, as before. Routine lines (first starts that waited less than a second, ends as done) no longer use the last 1,000 lines of the budget and of the queue, which are left to failures, refusals, late starts and what becomes of a job. Lines that wait for the output are written together.

--- a/core/tbcontrol/decisions.go
+++ b/core/tbcontrol/decisions.go
@@ -1,6 +1,7 @@
 package tbcontrol
 
 import (
+	"strconv"
 	"time"
 
 	"tamarackbarrow/core/tbfleet"
@@ -20,20 +21,21 @@
 func (c *Control) logApplied(now time.Time, command tbflow.Command) {
 	index := c.state.Applied
 	flow := c.state.Flow
+	lines := &c.lead.flow.lines
 	switch command := command.(type) {
 	case tbflow.PutConfig:
-		c.emit(Log{Message: "configuration stored", Args: []any{
+		lines.add(Log{Message: "configuration stored", Args: []any{
 			"version", command.Config.Version, "inForce", flow.Config.Version, "queues", len(command.Config.Queues), "index", index,
 		}})
 	case tbflow.Submit:
 		if j := flow.Jobs[command.Job.ID]; j != nil {
-			c.emit(Log{Message: "job accepted", Args: []any{
+			lines.add(Log{Message: "job accepted", Args: []any{
 				"job", j.ID, "queue", j.Queue.Host + j.Queue.Prefix, "steps", len(j.Steps), "version", flow.Config.Version, "index", index,
 			}})
 		}
 	case tbflow.Cancel:
 		if j := flow.Jobs[command.ID]; j != nil {
-			c.emit(Log{Message: "job cancelled", Args: []any{"job", j.ID, "phase", j.Phase.String(), "index", index}})
+			lines.add(Log{Message: "job cancelled", Args: []any{"job", j.ID, "phase", j.Phase.String(), "index", index}})
 		}
 	case tbflow.Assign:
 		for _, a := range command.Runs {
@@ -44,24 +46,30 @@
 			c.logEnd(command.Worker, index, e)
 		}
 	case tbflow.NoteDraining:
-		c.emit(Log{Message: "worker drains", Args: []any{"worker", command.Worker, "born", command.Born, "index", index}})
+		lines.add(Log{Message: "worker drains", Args: []any{"worker", command.Worker, "born", command.Born, "index", index}})
 	}
 }
 
+// longWait is the wait from which on a start is told of even when many lines are dropped.
+const longWait = time.Second
+
 func (c *Control) logAssignment(now time.Time, index uint64, a tbflow.Assignment) {
 	j := c.state.Flow.Jobs[a.Ref.Job]
 	if j == nil || j.Task(a.Ref) == nil {
 		return
 	}
 	t := j.Task(a.Ref)
-	args := []any{
-		"job", j.ID, "task", a.Ref.String(), "run", a.Run, "worker", a.Worker,
-		"waitedMs", t.AssignedMs - t.WaitingMs, "failures", t.Failures, "index", index,
-	}
+	waited := t.AssignedMs - t.WaitingMs
+	run := runText(a.Ref, a.Run, a.Worker)
+	run = appendNumber(run, "waitedMs", waited)
+	run = appendNumber(run, "failures", int64(t.Failures))
 	if w := c.lead.flow.fleet.Worker(a.Worker); w != nil {
-		args = append(args, "reportAgeMs", now.Sub(w.HeardAt).Milliseconds())
+		run = appendNumber(run, "reportAgeMs", now.Sub(w.HeardAt).Milliseconds())
 	}
-	c.emit(Log{Message: "run assigned", Args: args})
+	c.lead.flow.lines.addRun(runLine{
+		message: "run assigned", job: j.ID, index: index,
+		routine: t.Failures == 0 && a.Run == 1 && waited < longWait.Milliseconds(),
+	}, run)
 }
 
 // endTexts are the kinds of end in the log.
@@ -75,13 +83,66 @@
 		return
 	}
 	t := j.Task(e.Ref)
-	c.emit(Log{Message: "run ended", Args: []any{
-		"job", j.ID, "task", e.Ref.String(), "run", e.Run, "worker", worker, "how", endTexts[e.Kind],
-		"ranMs", c.state.Flow.NowMs - t.AssignedMs, "checkpoint", e.Checkpoint != "", "index", index,
-	}})
+	run := runText(e.Ref, e.Run, worker)
+	run = append(append(run, " how="...), endTexts[e.Kind]...)
+	run = appendNumber(run, "ranMs", c.state.Flow.NowMs-t.AssignedMs)
+	run = strconv.AppendBool(append(run, " checkpoint="...), e.Checkpoint != "")
+	c.lead.flow.lines.addRun(runLine{message: "run ended", job: j.ID, index: index, routine: e.Kind == tbflow.EndDone}, run)
 	if j.Phase.Ended() && j.EndedMs == c.state.Flow.NowMs {
-		c.emit(Log{Message: "job ended", Args: []any{
+		c.lead.flow.lines.add(Log{Message: "job ended", Args: []any{
 			"job", j.ID, "phase", j.Phase.String(), "tookMs", j.EndedMs - j.SubmittedMs, "index", index,
 		}})
 	}
 }
+
+// runText begins the text of one run; "tamarackbarrow explain" reads it.
+func runText(ref tbflow.TaskRef, run uint64, worker string) []byte {
+	b := make([]byte, 0, 128)
+	b = append(append(b, "task="...), ref.String()...)
+	b = strconv.AppendUint(append(b, " run="...), run, 10)
+	return append(append(b, " worker="...), worker...)
+}
+
+func appendNumber(b []byte, key string, n int64) []byte {
+	b = append(append(append(b, ' '), key...), '=')
+	return strconv.AppendInt(b, n, 10)
+}
+
+// logLines gathers the lines of one log entry. The starts of a job share a line, and so
+// do its ends: a plan starts the tasks of a step by tens.
+type logLines struct {
+	all []Log
+	at  map[runLine]int
+}
+
+// runLine tells which runs share a line.
+type runLine struct {
+	message string
+	job     string
+	index   uint64
+	routine bool
+}
+
+func (l *logLines) add(line Log) { l.all = append(l.all, line) }
+
+func (l *logLines) addRun(key runLine, run []byte) {
+	at, ok := l.at[key]
+	if !ok {
+		if l.at == nil {
+			l.at = map[runLine]int{}
+		}
+		at = len(l.all)
+		l.at[key] = at
+		l.add(Log{Message: key.message, Args: []any{"job", key.job, "index", key.index}, Routine: key.routine})
+	}
+	l.all[at].Runs = append(l.all[at].Runs, string(run))
+}
+
+// emit turns the lines into effects.
+func (l *logLines) emit(c *Control) {
+	for _, line := range l.all {
+		c.emit(line)
+	}
+	l.all = l.all[:0]
+	clear(l.at)
+}
--- /dev/null
+++ b/core/tbcontrol/decisions_test.go
@@ -0,0 +1,68 @@
+package tbcontrol_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"tamarackbarrow/core/tbcontrol"
+	"tamarackbarrow/core/tbfleet"
+	"tamarackbarrow/core/tbflow"
+	"tamarackbarrow/core/tbresource"
+)
+
+// said returns the lines of the leader with a message.
+func (r *replica) said(message string) []tbcontrol.Log {
+	var found []tbcontrol.Log
+	for _, l := range r.logs {
+		if l.Message == message {
+			found = append(found, l)
+		}
+	}
+	return found
+}
+
+// A line for each start and each end was more than the log's budget on a busy day. The
+// runs of one job share a line, and a failure is told apart from ordinary ends.
+func TestStartsAndEndsOfAJobShareALine(t *testing.T) {
+	g := runningJob(t)
+	r := g.leader()
+	r.logs = nil
+	job := tbflow.Job{ID: "many", Steps: []tbflow.Step{{Count: 5, Need: tbresource.Amount{MilliProcessors: 100, MemoryMB: 10}}}}
+	qt.Assert(t, g.ask(tbcontrol.SubmitAsked{Submit: tbflow.Submit{Host: "h", Path: "/q/many", Job: job}}).Answer.Code, qt.Equals, tbcontrol.Done)
+	started := r.said("run assigned")
+	qt.Assert(t, started, qt.HasLen, 1)
+	qt.Check(t, started[0].Args[:2], qt.DeepEquals, []any{"job", "many"})
+	qt.Check(t, started[0].Routine, qt.IsTrue)
+	qt.Assert(t, started[0].Runs, qt.HasLen, 5)
+	qt.Check(t, strings.Join(started[0].Runs, "; "), qt.Contains, "task=many.0.0.3 run=1 worker=w waitedMs=")
+
+	var ended []tbfleet.EndReport
+	for i := range 5 {
+		kind := tbflow.EndDone
+		if i == 3 {
+			kind = tbflow.EndFailed
+		}
+		ended = append(ended, tbfleet.EndReport{Number: uint64(i + 1), Ref: tbflow.TaskRef{Job: "many", Index: i}, Run: 1, Kind: kind})
+	}
+	g.step(r, tbcontrol.LookAnswered{Term: r.control.Replica().Term(), Answer: tbfleet.LookAnswered{
+		Worker: "w", Born: 1, ActualBorn: 1, SentAt: g.now, Verdict: tbfleet.Accepted, ClockMs: 10, Ended: ended,
+	}})
+	g.run(20 * time.Millisecond)
+	lines := r.said("run ended")
+	qt.Assert(t, lines, qt.HasLen, 2)
+	qt.Check(t, lines[0].Routine, qt.IsTrue)
+	qt.Check(t, lines[0].Runs, qt.HasLen, 4)
+	qt.Check(t, lines[1].Routine, qt.IsFalse)
+	qt.Assert(t, lines[1].Runs, qt.HasLen, 1)
+	qt.Check(t, lines[1].Runs[0], qt.Matches, `task=many\.0\.0\.3 run=1 worker=w how=failed ranMs=\d+ checkpoint=false`)
+
+	// The second run of a task that failed is no routine.
+	g.run(200 * time.Millisecond)
+	again := r.said("run assigned")[1:]
+	qt.Assert(t, again, qt.HasLen, 1)
+	qt.Check(t, again[0].Routine, qt.IsFalse)
+	qt.Check(t, again[0].Runs[0], qt.Contains, "failures=1")
+}
--- a/core/tbcontrol/flow.go
+++ b/core/tbcontrol/flow.go
@@ -16,6 +16,7 @@
 	learner   *tbassign.Learner
 	rebalance *tbassign.Rebalancer
 	group     groupKeeper
+	lines     logLines
 	// submitting holds the jobs whose acceptance is proposed: they may run and are not turned away.
 	submitting map[string]bool
 	// assigning is true while a plan is proposed and not yet applied.
--- a/core/tbcontrol/group_test.go
+++ b/core/tbcontrol/group_test.go
@@ -33,6 +33,7 @@
 	answers map[uint64]tbcontrol.AnswerQuestion
 	// orders are the calls to workers that the replica made.
 	orders []tbfleet.Call
+	logs   []tbcontrol.Log
 	// cut is true while nothing reaches the replica and nothing leaves it.
 	cut bool
 	// deaf is true while nothing reaches the replica, though what it sends arrives.
@@ -103,6 +104,8 @@
 			r.answers[e.Request] = e
 		case tbcontrol.CallWorker:
 			r.orders = append(r.orders, e.Call)
+		case tbcontrol.Log:
+			r.logs = append(r.logs, e)
 		}
 	}
 }
--- a/core/tbcontrol/types.go
+++ b/core/tbcontrol/types.go
@@ -189,6 +189,10 @@
 	Detail  string
 	// Args are further keys and values by turns.
 	Args []any
+	// Runs tells of single runs where one line is about several of a job, each as keys and values.
+	Runs []string
+	// Routine is true for a line without which every refusal, failure and late start is still told.
+	Routine bool
 }
 
 func (SendMessages) isEffect()       {}
--- a/io/tbcommand/command.go
+++ b/io/tbcommand/command.go
@@ -104,10 +104,13 @@
 	}
 	out := tblog.New(os.Stdout, time.Now())
 	defer out.Close()
-	log := hclog.New(&hclog.LoggerOptions{
-		Name: "tamarackbarrow", Level: hclog.LevelFromString(level), Output: out, JSONFormat: true,
-	})
-	d, err := tbdaemon.New(settings, log)
+	newLog := func(out io.Writer) hclog.Logger {
+		return hclog.New(&hclog.LoggerOptions{
+			Name: "tamarackbarrow", Level: hclog.LevelFromString(level), Output: out, JSONFormat: true,
+		})
+	}
+	log := newLog(out)
+	d, err := tbdaemon.New(settings, log, newLog(out.Routine()))
 	if err != nil {
 		return err
 	}
--- a/io/tbcommand/explain.go
+++ b/io/tbcommand/explain.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -60,7 +61,7 @@
 				continue
 			}
 			l.time, _ = l.fields["@timestamp"].(string)
-			all = append(all, l)
+			all = append(all, l.singleRuns()...)
 		}
 		if err := s.Err(); err != nil {
 			return nil, fmt.Errorf("%s: %w", name, err)
@@ -72,6 +73,27 @@
 	return all, nil
 }
 
+// singleRuns returns a line for each run of a line about several, or the line itself.
+func (l logLine) singleRuns() []logLine {
+	runs, ok := l.fields["runs"].([]any)
+	if !ok {
+		return []logLine{l}
+	}
+	var all []logLine
+	for _, run := range runs {
+		text, _ := run.(string)
+		single := logLine{file: l.file, time: l.time, fields: maps.Clone(l.fields)}
+		delete(single.fields, "runs")
+		for _, field := range strings.Fields(text) {
+			if key, value, ok := strings.Cut(field, "="); ok {
+				single.fields[key] = value
+			}
+		}
+		all = append(all, single)
+	}
+	return all
+}
+
 // explain returns the lines of a job, of what happened to the workers of its runs
 // meanwhile, and of every change of the leader and of a process, in order of time.
 //
--- a/io/tbcommand/explain_test.go
+++ b/io/tbcommand/explain_test.go
@@ -40,3 +40,20 @@
 	qt.Check(t, Run([]string{"explain", "unknown", a}, &out, &faults, nil), qt.Equals, exitRefused)
 	qt.Check(t, Run([]string{"explain", "j1", "/nowhere.log"}, &out, &faults, nil), qt.Equals, exitUsage)
 }
+
+// A line about several runs is told run by run, and their workers count as the job's.
+func TestExplainTellsRunsThatShareALine(t *testing.T) {
+	a := writeLog(t, "a.log",
+		`{"@timestamp":"2026-01-01T00:00:01Z","@message":"run assigned","job":"j1","index":7,"runs":["task=j1.0.0.0 run=1 worker=w1 waitedMs=5","task=j1.0.0.1 run=2 worker=w2 waitedMs=6"]}`,
+		`{"@timestamp":"2026-01-01T00:00:01Z","@message":"run assigned","job":"j2","index":7,"runs":["task=j2.0.0.0 run=1 worker=w3"]}`,
+		`{"@timestamp":"2026-01-01T00:00:02Z","@message":"worker lost","worker":"w2"}`,
+		`{"@timestamp":"2026-01-01T00:00:02Z","@message":"worker lost","worker":"w3"}`,
+		`{"@timestamp":"2026-01-01T00:00:03Z","@message":"run ended","job":"j1","index":9,"runs":["task=j1.0.0.0 run=1 worker=w1 how=done"]}`)
+	var out, faults bytes.Buffer
+	qt.Assert(t, Run([]string{"explain", "j1", a}, &out, &faults, nil), qt.Equals, exitDone)
+	qt.Check(t, out.String(), qt.Equals, `2026-01-01T00:00:01Z a.log run assigned index=7 job=j1 run=1 task=j1.0.0.0 waitedMs=5 worker=w1
+2026-01-01T00:00:01Z a.log run assigned index=7 job=j1 run=2 task=j1.0.0.1 waitedMs=6 worker=w2
+2026-01-01T00:00:02Z a.log worker lost worker=w2
+2026-01-01T00:00:03Z a.log run ended how=done index=9 job=j1 run=1 task=j1.0.0.0 worker=w1
+`)
+}
--- a/io/tbdaemon/counters.go
+++ b/io/tbdaemon/counters.go
@@ -23,7 +23,9 @@
 }
 
 // add counts one under a name such as "refused.noLease".
-func (c *counters) add(name string) { c.vars.Add(name, 1) }
+func (c *counters) add(name string) { c.addMany(name, 1) }
+
+func (c *counters) addMany(name string, n int) { c.vars.Add(name, int64(n)) }
 
 // set replaces the value of a counter that is kept elsewhere.
 func (c *counters) set(name string, value int64) {
--- a/io/tbdaemon/daemon.go
+++ b/io/tbdaemon/daemon.go
@@ -34,16 +34,18 @@
 type Daemon struct {
 	settings tbsettings.Settings
 	log      hclog.Logger
-	node     *tbnode.Node
-	codec    *tbcodec.Codec
-	events   chan tbnode.Event
-	replies  sync.Map
-	nextID   atomic.Uint64
-	peers    *tbpeer.Client
-	runners  *tbrunnerclient.Client
-	backends *http.Client
-	outboxMu sync.Mutex
-	outboxes map[string]*outbox
+	// routineLog takes the lines that are dropped first when there are too many.
+	routineLog hclog.Logger
+	node       *tbnode.Node
+	codec      *tbcodec.Codec
+	events     chan tbnode.Event
+	replies    sync.Map
+	nextID     atomic.Uint64
+	peers      *tbpeer.Client
+	runners    *tbrunnerclient.Client
+	backends   *http.Client
+	outboxMu   sync.Mutex
+	outboxes   map[string]*outbox
 	// members is the control group as []tbconsensus.Member.
 	members atomic.Value
 	// started makes request ids of different incarnations differ.
@@ -75,12 +77,14 @@
 }
 
 // New opens the data folder, if any, and returns a daemon that does not run yet.
-func New(settings tbsettings.Settings, log hclog.Logger) (*Daemon, error) {
+//
+// What routine takes is dropped first when there are too many lines.
+func New(settings tbsettings.Settings, log, routine hclog.Logger) (*Daemon, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	traffic := &tbpeer.Traffic{}
 	httpClient := tbrunnerclient.NewHTTPClient()
 	d := &Daemon{
-		settings: settings, log: log,
+		settings: settings, log: log, routineLog: routine,
 		codec: tbcodec.New(parseBundle), events: make(chan tbnode.Event, eventQueueSize),
 		peers: tbpeer.New(settings.SourceIP, traffic), runners: tbrunnerclient.New(httpClient), backends: httpClient,
 		outboxes: map[string]*outbox{}, counters: newCounters(traffic), traffic: traffic,
--- a/io/tbdaemon/effects.go
+++ b/io/tbdaemon/effects.go
@@ -109,13 +109,20 @@
 	}
 }
 
-// logDecision writes a decision and counts it.
+// logDecision writes a decision and counts it, or the runs that it is about.
 func (d *Daemon) logDecision(e tbcontrol.Log) {
 	args := e.Args
 	if e.Detail != "" {
 		args = append(args, "detail", e.Detail)
 	}
-	d.counters.add("decisions." + e.Message)
+	if len(e.Runs) > 0 {
+		args = append(args, "runs", e.Runs)
+	}
+	d.counters.addMany("decisions."+e.Message, max(1, len(e.Runs)))
+	if e.Routine {
+		d.routineLog.Info(e.Message, args...)
+		return
+	}
 	d.log.Info(e.Message, args...)
 }
 
--- a/io/tblog/writer.go
+++ b/io/tblog/writer.go
@@ -14,6 +14,10 @@
 	LinesPerSecond = 1000
 	// BurstLines may be written at once.
 	BurstLines = 2000
+	// reservedLines of the burst are kept for lines that are not routine.
+	reservedLines = 1000
+	// writeBytes bounds what is written at once.
+	writeBytes = 64 << 10
 	// queueLines wait for a slow reader of the output.
 	queueLines = 4096
 	// reportEvery is how often dropped lines are reported.
@@ -45,22 +49,31 @@
 
 // Write takes one line; it reports success also for a line that is dropped.
 func (w *Writer) Write(line []byte) (int, error) {
-	if !w.take(time.Now()) {
-		w.drop()
-		return len(line), nil
-	}
+	w.write(line, 0)
+	return len(line), nil
+}
+
+// Routine returns a writer for lines that are dropped before any other is.
+func (w *Writer) Routine() io.Writer { return routine{w} }
+
+type routine struct{ w *Writer }
+
+// Write takes one line; it reports success also for a line that is dropped.
+func (r routine) Write(line []byte) (int, error) {
+	r.w.write(line, reservedLines)
+	return len(line), nil
+}
+
+// write takes a line unless so many lines of the budget and of the queue are left only.
+func (w *Writer) write(line []byte, reserved int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.closed {
-		w.drop()
-		return len(line), nil
-	}
-	select {
-	case w.lines <- append([]byte(nil), line...):
-	default:
+	if w.closed || len(w.lines) >= queueLines-reserved || !w.take(time.Now(), reserved) {
 		w.drop()
+		return
 	}
-	return len(line), nil
+	// Only this function sends, under the lock, so that there is room.
+	w.lines <- append([]byte(nil), line...)
 }
 
 func (w *Writer) drop() {
@@ -68,13 +81,11 @@
 	w.total.Add(1)
 }
 
-// take spends one line of the budget.
-func (w *Writer) take(now time.Time) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+// take spends one line of the budget unless only the reserved ones are left.
+func (w *Writer) take(now time.Time, reserved int) bool {
 	w.tokens = min(BurstLines, w.tokens+now.Sub(w.filled).Seconds()*LinesPerSecond)
 	w.filled = now
-	if w.tokens < 1 {
+	if w.tokens < float64(reserved)+1 {
 		return false
 	}
 	w.tokens--
@@ -84,9 +95,11 @@
 func (w *Writer) run() {
 	defer close(w.done)
 	reported := time.Now()
+	var together []byte
 	for line := range w.lines {
+		together = w.gather(append(together[:0], line...))
 		// Nothing can be told of an output that fails.
-		_, _ = w.out.Write(line)
+		_, _ = w.out.Write(together)
 		if now := time.Now(); now.Sub(reported) > reportEvery {
 			reported = now
 			w.report(now)
@@ -95,6 +108,22 @@
 	w.report(time.Now())
 }
 
+// gather adds the lines that wait already, which saves calls of the system.
+func (w *Writer) gather(together []byte) []byte {
+	for len(together) < writeBytes {
+		select {
+		case line, ok := <-w.lines:
+			if !ok {
+				return together
+			}
+			together = append(together, line...)
+		default:
+			return together
+		}
+	}
+	return together
+}
+
 // report writes how many lines were dropped since the last report.
 func (w *Writer) report(now time.Time) {
 	n := w.dropped.Swap(0)
