Keep the leader's workers in order instead of sorting and searching them

Fleet.Workers sorted all ids for each plan, each admission and each tick, and each report of a worker went over the map of all workers in search of its address. The fleet keeps its workers in a slice in order of their ids. Tick and address checks now go in that order too, so that a play repeats.

--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -1,8 +1,8 @@
 package tbfleet
 
 import (
-	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"tamarackbarrow/core/tbflow"
@@ -13,6 +13,8 @@
 	terms   Terms
 	token   uint64
 	workers map[string]*Worker
+	// ordered holds the same workers in order of their ids.
+	ordered []*Worker
 	// lives counts the restarts of workers under their ids that this leader saw.
 	lives uint64
 	// failing names the worker on which each failing job failed first.
@@ -156,10 +158,24 @@
 	if w == nil {
 		w = &Worker{Report: Report{ID: id}, lives: f.lives, runs: map[tbflow.TaskRef]*Run{}}
 		f.workers[id] = w
+		at, _ := f.find(id)
+		f.ordered = slices.Insert(f.ordered, at, w)
 	}
 	return w
 }
 
+// find returns where a worker is, or would be, in the order of ids.
+func (f *Fleet) find(id string) (int, bool) {
+	return slices.BinarySearchFunc(f.ordered, id, func(w *Worker, id string) int { return strings.Compare(w.ID, id) })
+}
+
+func (f *Fleet) forget(id string) {
+	if at, ok := f.find(id); ok {
+		f.ordered = slices.Delete(f.ordered, at, at+1)
+		delete(f.workers, id)
+	}
+}
+
 // Take returns what has to be done since the last call and clears it.
 func (f *Fleet) Take() Output {
 	out := f.out
@@ -177,9 +193,9 @@
 
 // Workers returns all known workers in order of their ids.
 func (f *Fleet) Workers() []*Worker {
-	var all []*Worker
-	for _, id := range slices.Sorted(maps.Keys(f.workers)) {
-		if w := f.workers[id]; w.known {
+	all := make([]*Worker, 0, len(f.ordered))
+	for _, w := range f.ordered {
+		if w.known {
 			all = append(all, w)
 		}
 	}
@@ -191,12 +207,14 @@
 
 // forgetSilent drops workers that have nothing to do and were not heard for long.
 func (f *Fleet) forgetSilent(now time.Time) {
-	for id, w := range f.workers {
-		if len(w.runs) == 0 && w.noted >= w.seen && now.Sub(w.HeardAt) > forgetAfter {
-			delete(f.workers, id)
-			f.out.Commands = append(f.out.Commands, tbflow.ForgetWorker{Worker: id, Born: w.Born})
+	f.ordered = slices.DeleteFunc(f.ordered, func(w *Worker) bool {
+		if len(w.runs) > 0 || w.noted < w.seen || now.Sub(w.HeardAt) <= forgetAfter {
+			return false
 		}
-	}
+		delete(f.workers, w.ID)
+		f.out.Commands = append(f.out.Commands, tbflow.ForgetWorker{Worker: w.ID, Born: w.Born})
+		return true
+	})
 }
 
 // Usable reports whether the worker may get a new task now.
@@ -221,8 +239,8 @@
 	if r.Born < w.Born || w.known && r.Born == w.Born && r.Sequence <= w.Sequence {
 		return false
 	}
-	for id, other := range f.workers {
-		if id != r.ID && other.known && other.Address == r.Address {
+	for _, other := range f.ordered {
+		if other != w && other.known && other.Address == r.Address {
 			if other.Born > r.Born {
 				return false
 			}
--- /dev/null
+++ b/core/tbfleet/fleet_bench_test.go
@@ -0,0 +1,52 @@
+package tbfleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"tamarackbarrow/core/tbfleet"
+)
+
+// crowd is a fleet of workers that all reported once.
+func crowd(count int) (*tbfleet.Fleet, []tbfleet.Report) {
+	f := tbfleet.New(terms, 1)
+	now := time.UnixMilli(1_700_000_000_000)
+	var reports []tbfleet.Report
+	for i := range count {
+		r := tbfleet.Report{ID: fmt.Sprintf("i-%010x", i*2654435761), Address: fmt.Sprintf("10.1.%d.%d:80", i/250, i%250), Born: 1, Class: "c", ClockMs: 1, Sequence: 1}
+		f.Heard(now, r)
+		reports = append(reports, r)
+	}
+	return f, reports
+}
+
+func BenchmarkHeard(b *testing.B) {
+	for _, count := range []int{40, 350, 1100} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			f, reports := crowd(count)
+			now := time.UnixMilli(1_700_000_001_000)
+			for i := 0; b.Loop(); i++ {
+				r := &reports[i%count]
+				r.Sequence++
+				if !f.Heard(now, *r) {
+					b.Fatal("report is outdated")
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkWorkers(b *testing.B) {
+	for _, count := range []int{40, 350, 1100} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			f, _ := crowd(count)
+			b.ReportAllocs()
+			for b.Loop() {
+				if len(f.Workers()) != count {
+					b.Fatal("a worker is missing")
+				}
+			}
+		})
+	}
+}
--- a/core/tbfleet/look.go
+++ b/core/tbfleet/look.go
@@ -8,7 +8,7 @@
 
 // Tick lets time pass: it repeats orders, renews leases and gives up lost workers.
 func (f *Fleet) Tick(now time.Time) {
-	for _, w := range f.workers {
+	for _, w := range f.ordered {
 		f.tend(now, w)
 	}
 	f.forgetSilent(now)
--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -221,7 +221,7 @@
 		}
 	}
 	if !w.known && len(w.runs) == 0 {
-		delete(f.workers, id)
+		f.forget(id)
 		return
 	}
 	f.tend(now, w)
