--- a/core/tbflow/job.go
+++ b/core/tbflow/job.go
@@ -1,7 +1,7 @@
 package tbflow
 
 import (
-	"fmt"
+	"strconv"
 	"time"
 
 	"tamarackbarrow/core/tbresource"
@@ -17,7 +17,12 @@
 
 // String returns the name of the task, as job.occurrence.step.index.
 func (r TaskRef) String() string {
-	return fmt.Sprintf("%s.%d.%d.%d", r.Job, r.Occurrence, r.Step, r.Index)
+	var space [64]byte
+	b := append(space[:0], r.Job...)
+	for _, n := range [...]int{r.Occurrence, r.Step, r.Index} {
+		b = strconv.AppendInt(append(b, '.'), int64(n), 10)
+	}
+	return string(b)
 }
 
 // Step is a number of equal tasks that may start once other steps are done.
