--- a/io/tbcommand/command.go
+++ b/io/tbcommand/command.go
@@ -102,6 +102,9 @@
 	if err != nil {
 		return err
 	}
+	if settings.DataFolder != "" {
+		tradeMemory()
+	}
 	out := tblog.New(os.Stdout, time.Now())
 	defer out.Close()
 	newLog := func(out io.Writer) hclog.Logger {
