--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -1,8 +1,8 @@
 package tbfleet
 
 import (
-	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"tamarackbarrow/core/tbflow"
@@ -13,15 +13,15 @@
 	terms   Terms
 	token   uint64
 	workers map[string]*Worker
+	// ordered holds the same workers in order of their ids.
+	ordered []*Worker
 	// lives counts the restarts of workers under their ids that this leader saw.
 	lives uint64
 	// droppedAt is when a worker was dropped whose orders may still be under way.
 	droppedAt map[string]time.Time
 	// failing names the worker on which each failing job failed first.
 	failing map[string]string
-	// order holds the ids of all workers in order, once it was needed.
-	order []string
-	out   Output
+	out     Output
 }
 
 // Worker is the leader's view of one life of a worker.
@@ -163,12 +163,22 @@
 		w = &Worker{Report: Report{ID: id}, lives: f.lives, runs: map[tbflow.TaskRef]*Run{}}
 		_, w.fence = f.droppedAt[id]
 		f.workers[id] = w
+		at, _ := f.find(id)
+		f.ordered = slices.Insert(f.ordered, at, w)
 	}
 	return w
 }
 
+// find returns where a worker is, or would be, in the order of ids.
+func (f *Fleet) find(id string) (int, bool) {
+	return slices.BinarySearchFunc(f.ordered, id, func(w *Worker, id string) int { return strings.Compare(w.ID, id) })
+}
+
 // drop forgets a worker; a life that comes back under its id counts as a later one.
 func (f *Fleet) drop(now time.Time, w *Worker) {
+	if at, ok := f.find(w.ID); ok {
+		f.ordered = slices.Delete(f.ordered, at, at+1)
+	}
 	delete(f.workers, w.ID)
 	f.droppedAt[w.ID] = now
 	f.lives++
@@ -191,30 +201,13 @@
 
 // Workers returns all known workers in order of their ids.
 func (f *Fleet) Workers() []*Worker {
-	all, complete := f.inOrder()
-	if !complete {
-		f.order = slices.Sorted(maps.Keys(f.workers))
-		all, _ = f.inOrder()
-	}
-	return all
-}
-
-// inOrder returns the known workers by the order as it is, and whether that has all workers and no other.
-func (f *Fleet) inOrder() ([]*Worker, bool) {
-	if len(f.order) != len(f.workers) {
-		return nil, false
-	}
-	all := make([]*Worker, 0, len(f.order))
-	for _, id := range f.order {
-		w := f.workers[id]
-		if w == nil {
-			return nil, false
-		}
+	all := make([]*Worker, 0, len(f.ordered))
+	for _, w := range f.ordered {
 		if w.known {
 			all = append(all, w)
 		}
 	}
-	return all, true
+	return all
 }
 
 // forgetAfter is the silence after which a worker without runs is forgotten.
@@ -222,10 +215,10 @@
 
 // forgetSilent drops workers that have nothing to do and were not heard for long.
 func (f *Fleet) forgetSilent(now time.Time) {
-	for id, w := range f.workers {
+	for _, w := range slices.Clone(f.ordered) {
 		if len(w.runs) == 0 && w.noted >= w.seen && now.Sub(w.HeardAt) > forgetAfter {
 			f.drop(now, w)
-			f.out.Commands = append(f.out.Commands, tbflow.ForgetWorker{Worker: id, Born: w.Born})
+			f.out.Commands = append(f.out.Commands, tbflow.ForgetWorker{Worker: w.ID, Born: w.Born})
 		}
 	}
 	for id, at := range f.droppedAt {
@@ -257,8 +250,8 @@
 	if r.Born < w.Born || w.known && r.Born == w.Born && r.Sequence <= w.Sequence {
 		return false
 	}
-	for id, other := range f.workers {
-		if id != r.ID && other.known && other.Address == r.Address {
+	for _, other := range f.ordered {
+		if other != w && other.known && other.Address == r.Address {
 			if other.Born > r.Born {
 				return false
 			}
