Name recorded ends to a worker only until it knows them

What users would see: a task is started again although it has ended as done. A look is under way when its worker restarts; the next life carries out a late start and then that look, which names the numbers of recorded ends that the life before knew long since, and forgets its own.

What is left is the one look that first names an end, carried out late by the next life after a late start has ended there.

--- a/core/tbfleet/look.go
+++ b/core/tbfleet/look.go
@@ -48,7 +48,7 @@
 		return
 	}
 	look := Look{Target: f.target(w), Timeout: f.terms.OrderTimeout}
-	if w.adopted && !w.Silent {
+	if w.adopted && !w.Silent && w.noted < w.seen {
 		// Another life would forget ends of its own by the numbers of this one's.
 		look.Seen = w.seen
 	}
