Log decisions that a new leader commits for its predecessor

What an on-call engineer saw: the log said that a run was assigned, and the job was completed, but no line told of the run's end.

Cause: only a replica that was ready to lead logged what it applied. What a deposed leader had proposed and the next one committed with its first entry was logged by neither.

Change: a replica logs from its election on.

--- a/core/tbcontrol/control.go
+++ b/core/tbcontrol/control.go
@@ -18,6 +18,7 @@
 	waiting    []proposal
 	inFlight   []sentBatch
 	lead       *leadership
+	lines      logLines
 	// asked holds the questions whose commands are proposed.
 	asked map[uint64]bool
 	// reads holds the questions that wait for an end to be recorded.
@@ -209,6 +210,9 @@
 		panic(fmt.Sprintf("committed log entry %d cannot be read: %v", e.Index, err))
 	}
 	outcomes := c.state.Apply(e.Index, batch)
+	if c.replica.Role() == tbconsensus.Leader {
+		c.logBatch(now, batch)
+	}
 	if c.lead != nil {
 		c.lead.applied(c, now, batch)
 	}
--- a/core/tbcontrol/decisions.go
+++ b/core/tbcontrol/decisions.go
@@ -6,6 +6,7 @@
 
 	"tamarackbarrow/core/tbfleet"
 	"tamarackbarrow/core/tbflow"
+	"tamarackbarrow/core/tbstate"
 )
 
 // logNote logs what the fleet learned of a worker or decided about one of its runs.
@@ -17,11 +18,24 @@
 	c.emit(Log{Message: n.What, Detail: n.Detail, Args: append(args, n.Inputs...)})
 }
 
+// logBatch logs what a committed batch decided about jobs of steps.
+//
+// A replica does so from its election on: what a new leader commits of its predecessor's
+// decisions that one may never have known to be committed.
+func (c *Control) logBatch(now time.Time, batch tbstate.Batch) {
+	for _, command := range batch.Commands {
+		if change, ok := command.(tbstate.FlowChange); ok {
+			c.logApplied(now, change.Command)
+		}
+	}
+	c.lines.emit(c)
+}
+
 // logApplied logs a committed decision with the index at which every replica has it.
 func (c *Control) logApplied(now time.Time, command tbflow.Command) {
 	index := c.state.Applied
 	flow := c.state.Flow
-	lines := &c.lead.flow.lines
+	lines := &c.lines
 	switch command := command.(type) {
 	case tbflow.PutConfig:
 		lines.add(Log{Message: "configuration stored", Args: []any{
@@ -63,15 +77,23 @@
 	run := runText(a.Ref, a.Run, a.Worker)
 	run = appendNumber(run, "waitedMs", waited)
 	run = appendNumber(run, "failures", int64(t.Failures))
-	if w := c.lead.flow.fleet.Worker(a.Worker); w != nil {
+	if w := c.workerOf(a); w != nil {
 		run = appendNumber(run, "reportAgeMs", now.Sub(w.HeardAt).Milliseconds())
 	}
-	c.lead.flow.lines.addRun(runLine{
+	c.lines.addRun(runLine{
 		message: "run assigned", job: j.ID, index: index,
 		routine: t.Failures == 0 && a.Run == 1 && waited < longWait.Milliseconds(),
 	}, run)
 }
 
+// workerOf returns the leader's view of the worker of an assignment, or nil.
+func (c *Control) workerOf(a tbflow.Assignment) *tbfleet.Worker {
+	if c.lead == nil {
+		return nil
+	}
+	return c.lead.flow.fleet.Worker(a.Worker)
+}
+
 // endTexts are the kinds of end in the log.
 var endTexts = map[tbflow.EndKind]string{
 	tbflow.EndDone: "done", tbflow.EndFailed: "failed", tbflow.EndStopped: "stopped", tbflow.EndNeverRan: "neverRan",
@@ -87,9 +109,9 @@
 	run = append(append(run, " how="...), endTexts[e.Kind]...)
 	run = appendNumber(run, "ranMs", c.state.Flow.NowMs-t.AssignedMs)
 	run = strconv.AppendBool(append(run, " checkpoint="...), e.Checkpoint != "")
-	c.lead.flow.lines.addRun(runLine{message: "run ended", job: j.ID, index: index, routine: e.Kind == tbflow.EndDone}, run)
+	c.lines.addRun(runLine{message: "run ended", job: j.ID, index: index, routine: e.Kind == tbflow.EndDone}, run)
 	if j.Phase.Ended() && j.EndedMs == c.state.Flow.NowMs {
-		c.lead.flow.lines.add(Log{Message: "job ended", Args: []any{
+		c.lines.add(Log{Message: "job ended", Args: []any{
 			"job", j.ID, "phase", j.Phase.String(), "tookMs", j.EndedMs - j.SubmittedMs, "index", index,
 		}})
 	}
--- a/core/tbcontrol/decisions_test.go
+++ b/core/tbcontrol/decisions_test.go
@@ -66,3 +66,23 @@
 	qt.Check(t, again[0].Routine, qt.IsFalse)
 	qt.Check(t, again[0].Runs[0], qt.Contains, "failures=1")
 }
+
+// A leader proposes to record an end and is cut off before it learns that this is committed.
+// The next leader commits it, and its log tells so; nobody else's would.
+func TestEndThatTheNextLeaderCommitsIsLogged(t *testing.T) {
+	g := runningJob(t)
+	first := g.leader()
+	first.logs = nil
+	g.step(first, tbcontrol.LookAnswered{Term: first.control.Replica().Term(), Answer: tbfleet.LookAnswered{
+		Worker: "w", Born: 1, ActualBorn: 1, SentAt: g.now, Verdict: tbfleet.Accepted, ClockMs: 10,
+		Ended: []tbfleet.EndReport{{Number: 1, Ref: tbflow.TaskRef{Job: "j"}, Run: 1, Kind: tbflow.EndDone}},
+	}})
+	first.cut = true
+	g.run(3 * time.Second)
+	next := g.leader()
+	qt.Assert(t, next, qt.IsNotNil)
+	qt.Assert(t, next.control.State().Flow.Jobs["j"].Phase, qt.Equals, tbflow.Completed)
+	qt.Check(t, first.said("run ended"), qt.HasLen, 0)
+	qt.Check(t, next.said("run ended"), qt.HasLen, 1)
+	qt.Check(t, next.said("job ended"), qt.HasLen, 1)
+}
--- a/core/tbcontrol/flow.go
+++ b/core/tbcontrol/flow.go
@@ -17,7 +17,6 @@
 	rebalance *tbassign.Rebalancer
 	planner   tbassign.Planner
 	group     groupKeeper
-	lines     logLines
 	// submitting holds the jobs whose acceptance is proposed: they may run and are not turned away.
 	submitting map[string]bool
 	// assigning is true while a plan is proposed and not yet applied.
@@ -213,7 +212,6 @@
 
 // applied follows a change of the state that was committed.
 func (l *flowLead) applied(c *Control, now time.Time, command tbflow.Command) {
-	c.logApplied(now, command)
 	l.fleet.Applied(now, c.state.Flow, command)
 	l.stale = true
 	switch command := command.(type) {
--- a/core/tbcontrol/leadership.go
+++ b/core/tbcontrol/leadership.go
@@ -126,7 +126,6 @@
 			l.planned = 0
 		}
 	}
-	l.flow.lines.emit(c)
 }
 
 // endedSessions closes sessions whose lease and whose last requests have surely ended.
