Let the runs of a plan of everything grow with the fleet, and make it half as often

Cause: plans of everything took the leader's time that orders and answers needed; half as many with at most 64 runs leave filling work behind.

A plan of everything now comes each 200 us for each worker (15 ms at least) and has a quarter of a run for each worker (64 at least, 256 at most). Fleets up to 75 workers plan as often as before, and up to 256 as many runs.

--- a/core/tbassign/urgent.go
+++ b/core/tbassign/urgent.go
@@ -18,14 +18,16 @@
 
 // Bounds of the plans of everything.
 const (
-	// fullRuns is the most runs of one plan of everything: what orders them keeps short steps waiting.
-	fullRuns = 64
-	// shortRuns is the most runs of one plan of short steps.
-	shortRuns = 256
-	// leastFullPause and fullPauseOf, for each worker, are the time between two plans of
+	// mostRuns is the most runs of any plan.
+	mostRuns = 256
+	// leastFullRuns and, for each worker, fullRunsOf are the most runs of one plan of
+	// everything: what orders them keeps short steps waiting.
+	leastFullRuns = 64
+	fullRunsOf    = 0.25
+	// leastFullPause and, for each worker, fullPauseOf are the time between two plans of
 	// everything, so that these take about the same share of the leader's time on any fleet.
 	leastFullPause = 15 * time.Millisecond
-	fullPauseOf    = 100 * time.Microsecond
+	fullPauseOf    = 200 * time.Microsecond
 )
 
 // Planner decides what each plan considers.
@@ -39,10 +41,12 @@
 // Next returns the runs that should start now and whether all steps were considered.
 func (p *Planner) Next(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer) ([]tbflow.Assignment, bool) {
 	if now.Before(p.nextFull) {
-		return PlanShort(now, s, f, l, g, shortRuns), false
+		return PlanShort(now, s, f, l, g, mostRuns), false
 	}
-	p.nextFull = now.Add(max(leastFullPause, time.Duration(len(s.Workers))*fullPauseOf))
-	return Plan(now, s, f, l, g, fullRuns), true
+	workers := len(s.Workers)
+	p.nextFull = now.Add(max(leastFullPause, time.Duration(workers)*fullPauseOf))
+	runs := min(mostRuns, max(leastFullRuns, int(fullRunsOf*float64(workers))))
+	return Plan(now, s, f, l, g, runs), true
 }
 
 // PlanShort returns the runs of short steps that should start now, which Plan would put first.
