A late report that an earlier life drains does not concern the next one

What users would see: a worker that comes back under its id gets no tasks until it ends, while its tasks are assigned to it again and again and refused by the state.

Cause: NoteDraining marked the record of whatever life was the newest. A draining report of the earlier life that is taken before the next one's own is committed, comes after it in the log.

Change: the command concerns the life that it names.

--- a/core/tbflow/state.go
+++ b/core/tbflow/state.go
@@ -148,7 +148,9 @@
 		}
 		return OK
 	case NoteDraining:
-		s.record(c.Worker, c.Born).Draining = true
+		if w := s.record(c.Worker, c.Born); w.Born == c.Born {
+			w.Draining = true
+		}
 		return OK
 	}
 	panic(fmt.Sprintf("flow command of unknown type %T", c))
--- a/core/tbflow/state_test.go
+++ b/core/tbflow/state_test.go
@@ -200,6 +200,17 @@
 	qt.Check(t, f.RunCount("w"), qt.Equals, 0)
 }
 
+// A late report that an earlier life drains is committed after the next life's own; the next
+// one would get no tasks until it ends, though its leader assigns them again and again.
+func TestDrainingOfAnEarlierLifeDoesNotConcernTheNext(t *testing.T) {
+	f := newFixture(t)
+	f.submit("j", step(1))
+	f.apply(tbflow.NoteWorker{Worker: "w", Born: 2, Address: "a:1"})
+	f.apply(tbflow.NoteDraining{Worker: "w", Born: 1})
+	f.apply(tbflow.Assign{Runs: []tbflow.Assignment{{Ref: ref("j", 0, 0), Run: 1, Worker: "w", Born: 2}}})
+	qt.Check(t, f.Jobs["j"].Task(ref("j", 0, 0)).Phase, qt.Equals, tbflow.TaskAssigned)
+}
+
 func TestOneEndStandsForAGang(t *testing.T) {
 	f := newFixture(t)
 	gang := step(2)
