--- a/core/tbcontrol/urgent_test.go
+++ b/core/tbcontrol/urgent_test.go
@@ -50,7 +50,7 @@
 			waited := task.AssignedMs - task.WaitingMs
 			qt.Check(t, waited <= 20, qt.IsTrue, qt.Commentf("job %d, step %d waited for %d ms", i, n, waited))
 			ends[task.Worker]++
-			g.step(r, tbcontrol.LookAnswered{Answer: tbfleet.LookAnswered{
+			g.step(r, tbcontrol.LookAnswered{Term: r.control.Replica().Term(), Answer: tbfleet.LookAnswered{
 				Worker: task.Worker, Born: 1, ActualBorn: 1, SentAt: g.now, Verdict: tbfleet.Accepted, ClockMs: 10,
 				Ended: []tbfleet.EndReport{{Number: ends[task.Worker], Ref: tbflow.TaskRef{Job: id, Step: n}, Run: 1, Kind: tbflow.EndDone}},
 			}})
