--- /dev/null
+++ b/io/tbflowcodec/codec_bench_test.go
@@ -0,0 +1,65 @@
+package tbflowcodec
+
+import (
+	"fmt"
+	"testing"
+
+	"tamarackbarrow/core/tbflow"
+	"tamarackbarrow/core/tbresource"
+)
+
+// dayOfJobs is the state near the end of a day of 350 workers: 960 jobs with 25,000 tasks.
+func dayOfJobs() *tbflow.State {
+	s := tbflow.New()
+	s.Config.Version = 1
+	for i := range 350 {
+		id := fmt.Sprintf("i-%010x", i)
+		s.Workers[id] = &tbflow.WorkerRecord{Born: 1764835200123, Seen: 90, Address: "10.128.0.9:8080", Class: "c", Rack: "r1-3", Labels: []string{"a", "r1-3"}}
+	}
+	for i := range 960 {
+		j := &tbflow.Job{
+			ID: fmt.Sprintf("%016x", i), Queue: tbflow.QueueKey{Host: "fifi43.example", Prefix: "/wude211/"}, WorkerClass: "c", MaxAttempts: 4,
+			Spec: "spec", Phase: tbflow.Completed, Started: true, SubmittedMs: 1764835200123, EndedMs: 1764835210123, Seq: uint64(i),
+		}
+		j.Tasks = make([][][]tbflow.Task, 1)
+		for k := range 2 {
+			j.Steps = append(j.Steps, tbflow.Step{Count: 13, Need: tbresource.Amount{MilliProcessors: 3500, MemoryMB: 512}, Image: "image"})
+			tasks := make([]tbflow.Task, 13)
+			for n := range tasks {
+				tasks[n] = tbflow.Task{Phase: tbflow.TaskDone, Run: 1, Checkpoint: "00000bb87a21d94b", AssignedMs: 1764835200123, WaitingMs: 1764835200100 + int64(k)}
+			}
+			j.Tasks[0] = append(j.Tasks[0], tasks)
+		}
+		s.Jobs[j.ID] = j
+	}
+	s.Rebuild()
+	return s
+}
+
+func BenchmarkEncodeState(b *testing.B) {
+	s := dayOfJobs()
+	b.ReportAllocs()
+	for b.Loop() {
+		b.SetBytes(int64(len(EncodeState(s))))
+	}
+}
+
+// Each iteration is a log entry of a busy moment: 25 starts, and the ends of 25 workers.
+func BenchmarkCommands(b *testing.B) {
+	assign := tbflow.Assign{}
+	var commands []tbflow.Command
+	for i := range 25 {
+		ref := tbflow.TaskRef{Job: "5c0e7a21d94b36f8", Step: 1, Index: i}
+		assign.Runs = append(assign.Runs, tbflow.Assignment{Ref: ref, Run: 1, Worker: "i-44debfbafe", Born: 1764835200123})
+		commands = append(commands, tbflow.NoteEnds{Worker: "i-44debfbafe", Born: 1764835200123, Through: 9, Ends: []tbflow.End{{Ref: ref, Run: 1, Kind: tbflow.EndDone}}})
+	}
+	commands = append(commands, assign)
+	b.ReportAllocs()
+	for b.Loop() {
+		for _, c := range commands {
+			if _, err := DecodeCommand(EncodeCommand(c)); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+}
