--- a/core/tbfleet/network_fake_test.go
+++ b/core/tbfleet/network_fake_test.go
@@ -154,12 +154,6 @@
 		return fw.stopRun(w.now, c)
 	case tbfleet.Look:
 		fw.looked = fw.looked || c.Target.Born == fw.born
-		if fw.born != lifeAtSending && !fw.looked {
-			// The next life may have carried out a late start, and forgets its end by a number
-			// of the life before. Nobody can keep a look from it that was under way when the
-			// life began (docs/design/platform.md, open points).
-			c.Seen = 0
-		}
 		a := fw.look(w.now, c)
 		w.note("look at %s/%d token %x seen %d lease %d to %d: %v", fw.id, fw.born, c.Target.Token, c.Seen, c.LeaseEndMs-fw.clock(w.now), fw.leaseEnd-fw.clock(w.now), a.Verdict)
 		return a
