--- a/core/tbfleet/lives_test.go
+++ b/core/tbfleet/lives_test.go
@@ -116,6 +116,7 @@
 	qt.Assert(t, o.fleet.Worker("w"), qt.IsNil)
 	o.now = o.now.Add(time.Second)
 	second := o.heard()
+	qt.Check(t, o.fleet.Usable(o.fleet.Worker("w"), o.now), qt.IsFalse)
 	o.obey(second)
 	o.assign()
 	o.obey(second)
@@ -154,6 +155,9 @@
 			o.assign()
 			o.obey(second)
 			qt.Assert(t, second.running, qt.HasLen, 1)
+			o.fleet.LookAnswered(o.now, second.list(o.now, tbfleet.LookAnswered{
+				Worker: "w", Born: second.born, SentAt: o.now, Verdict: tbfleet.Accepted,
+			}))
 
 			// From now on nothing reaches the worker.
 			for lost := false; !lost; {
