--- a/Makefile
+++ b/Makefile
@@ -33,8 +33,9 @@
 demo: build ## Run the whole path once with 7 entries, 8 runners and 8 workers.
 	bin/tbbench run demo --seed $(SEED)
 
-bench: build ## Run every scenario and write its report to bench/.
+bench: build ## Run every scenario and Go benchmark and write the reports to bench/.
 	mkdir -p bench
+	go test -run '^$$' -bench . -cpu 1 ./core/... ./io/... ./platform > bench/go.txt && cat bench/go.txt
 	for s in $$(bin/tbbench list | cut -d' ' -f1); do echo "== $$s"; bin/tbbench run $$s --seed $(SEED) --json > bench/$$s.json; cat bench/$$s.json; done
 
 soak: ## Run many random schedules, from SEED on.
