--- a/core/tbcontrol/control.go
+++ b/core/tbcontrol/control.go
@@ -113,16 +113,16 @@
 	case QuestionArrived:
 		c.onQuestion(now, ev)
 	case StartAnswered:
-		if c.rules(ev.Term) {
+		if c.leadsIn(ev.Term) {
 			c.lead.flow.fleet.StartAnswered(now, ev.Answer)
 			c.lead.flow.paceStarted(c, now, ev.Answer)
 		}
 	case StopAnswered:
-		if c.rules(ev.Term) {
+		if c.leadsIn(ev.Term) {
 			c.lead.flow.fleet.StopAnswered(now, ev.Answer)
 		}
 	case LookAnswered:
-		if c.rules(ev.Term) {
+		if c.leadsIn(ev.Term) {
 			c.onLook(now, ev.Answer)
 		}
 	case BatchEnded:
@@ -144,11 +144,11 @@
 	return effects
 }
 
-// rules reports whether this replica still acts as the leader of a term.
+// leadsIn reports whether this replica still acts as the leader of a term.
 //
 // An answer to an order of an earlier term proves nothing in a later one: the worker may
 // carry out other orders of that term that the later token does not fence off yet.
-func (c *Control) rules(term uint64) bool { return c.lead != nil && c.replica.Term() == term }
+func (c *Control) leadsIn(term uint64) bool { return c.lead != nil && c.replica.Term() == term }
 
 func (c *Control) emit(e Effect) { c.effects = append(c.effects, e) }
 
