Grant no lease where no order is sent

Found on reading the change again: an assignment to a life that is gone renewed the worker's lease in the leader's books before it was passed over, so that a lost worker was given up up to a lease later.

--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -38,15 +38,14 @@
 	w := f.worker(a.Worker)
 	run := &Run{Run: a.Run, Phase: RunOrdered, Checkpoint: t.Checkpoint, Pace: FullPace, sentAt: now}
 	w.runs[a.Ref] = run
-	leaseEnd := f.extend(now, w)
-	if !w.known || w.Born != a.Born || leaseEnd == 0 {
+	if !w.known || w.Born != a.Born || !w.clock.known() {
 		// The life that was meant is gone, or no lease can be granted to it: it gets no order.
 		f.neverRan(w, a.Born, a.Ref, run)
 		return
 	}
 	f.call(Start{
 		Target: f.target(w), Ref: a.Ref, Run: a.Run, Spec: j.Spec, Checkpoint: t.Checkpoint,
-		LeaseEndMs: leaseEnd, Timeout: f.terms.OrderTimeout,
+		LeaseEndMs: f.extend(now, w), Timeout: f.terms.OrderTimeout,
 	})
 	f.tend(now, w)
 }
