Give the addresses of a test instance different ports

Cause: each address was chosen by listening on port 0 and closing again, one after the other, so that the kernel may hand the same port out twice. The proxy of the instance then listens where its callers should, the daemon ends since it cannot listen, and the proxy closes what it cannot forward.

Change: all listeners of an instance are held until the last address is known.

--- a/io/tblaunch/cluster.go
+++ b/io/tblaunch/cluster.go
@@ -93,31 +93,31 @@
 	if i < o.Controls {
 		in.ReplicaID = uint64(i + 1)
 	}
-	var err error
-	if in.CallerAddress, err = freeAddress(ip); err != nil {
-		return nil, err
-	}
-	if in.listenAddress, err = freeAddress(ip); err != nil {
+	addresses, err := freeAddresses(ip, 3)
+	if err != nil {
 		return nil, err
 	}
-	in.PeerAddress = in.listenAddress
+	in.CallerAddress, in.listenAddress, in.PeerAddress = addresses[0], addresses[1], addresses[1]
 	if !o.Proxied {
 		return in, nil
 	}
-	if in.PeerAddress, err = freeAddress(ip); err != nil {
-		return nil, err
-	}
+	in.PeerAddress = addresses[2]
 	in.Proxy, err = tbproxy.Listen(in.PeerAddress, in.listenAddress)
 	return in, err
 }
 
-// freeAddress returns an address on which nothing listens.
-func freeAddress(ip string) (string, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return "", err
+// freeAddresses returns n different addresses on which nothing listens.
+func freeAddresses(ip string, n int) (addresses []string, err error) {
+	for range n {
+		l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+		if err != nil {
+			return nil, err
+		}
+		// A port that is free again may be handed out a second time, so that all are held until the last is known.
+		defer func() { err = errors.Join(err, l.Close()) }()
+		addresses = append(addresses, l.Addr().String())
 	}
-	return l.Addr().String(), l.Close()
+	return addresses, nil
 }
 
 func (c *Cluster) writeSettings(i int, join bool) error {
--- /dev/null
+++ b/io/tblaunch/cluster_test.go
@@ -0,0 +1,21 @@
+package tblaunch
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// The proxy of an instance got the port that was chosen for its callers, so that the daemon
+// could not listen there and was never ready: one of about 1,500 instances.
+func TestAddressesOfAnInstanceDiffer(t *testing.T) {
+	for range 20_000 {
+		addresses, err := freeAddresses("127.0.9.1", 3)
+		qt.Assert(t, err, qt.IsNil)
+		seen := map[string]bool{}
+		for _, a := range addresses {
+			seen[a] = true
+		}
+		qt.Assert(t, seen, qt.HasLen, 3, qt.Commentf("%v", addresses))
+	}
+}
