Let no late look forget an end that nobody has read

Cause: an order may be carried out 12 s late, also by the next life of a worker that starts again under its id and has seen no token yet. It carried out a start, then a look of the same leader that names the recorded ends of the life before, and forgot the end of the run by a number that was not its own.

Change: a look names no ends while a start is open. A start that follows such a look gets a higher token, so that whoever carried out the start refuses the look. A worker that got them the other way round refuses the look too; that is not taken for silence, and the next look names the ends. The token's low part is now a serial of each worker, not a count of lives of all, and has 28 bits.

--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -15,8 +15,8 @@
 	workers map[string]*Worker
 	// ordered holds the same workers in order of their ids.
 	ordered []*Worker
-	// lives counts the restarts of workers under their ids that this leader saw.
-	lives uint64
+	// serial is at least the highest serial of the workers that were forgotten.
+	serial uint64
 	// droppedAt is when a worker was dropped whose orders may still be under way.
 	droppedAt map[string]time.Time
 	// failing names the worker on which each failing job failed first.
@@ -43,9 +43,10 @@
 	// replaced is true once another worker has the address: it refuses orders that name this
 	// one, and an id that was replaced does not come back.
 	replaced bool
-	// lives is the fleet's count of lives at this life's first order; it never falls, also
-	// when the worker was forgotten in between.
-	lives uint64
+	// serial is the low part of the token: of two orders to one id, a worker that has seen the
+	// higher serial refuses the lower one. It never falls, also when the worker was forgotten
+	// in between.
+	serial uint64
 	// fence is true until a look has fenced off orders that were meant for an earlier life.
 	fence bool
 	// clock is the newest reading of the worker's clock.
@@ -64,6 +65,10 @@
 	// looking is true while a look is under way; retryAt is the earliest time of the next one.
 	looking bool
 	retryAt time.Time
+	// naming is true while a look with the present serial that names ends may still be carried
+	// out, and overtaken once an order got a higher serial than the look that is under way.
+	naming    bool
+	overtaken bool
 	runs    map[tbflow.TaskRef]*Run
 }
 
@@ -111,8 +116,9 @@
 	RunEnding
 )
 
-// livesBits is the part of a token that counts the lives of workers under one leader.
-const livesBits = 20
+// serialBits is the part of a token that holds the serial, which leaves 25 bits for the leader's
+// term in a number that JSON readers keep exactly.
+const serialBits = 28
 
 // FullPace is the pace of a run at its start, in percent.
 const FullPace = 100
@@ -160,7 +166,7 @@
 func (f *Fleet) worker(id string) *Worker {
 	w := f.workers[id]
 	if w == nil {
-		w = &Worker{Report: Report{ID: id}, lives: f.lives, runs: map[tbflow.TaskRef]*Run{}}
+		w = &Worker{Report: Report{ID: id}, serial: f.serial, runs: map[tbflow.TaskRef]*Run{}}
 		_, w.fence = f.droppedAt[id]
 		f.workers[id] = w
 		at, _ := f.find(id)
@@ -181,7 +187,7 @@
 	}
 	delete(f.workers, w.ID)
 	f.droppedAt[w.ID] = now
-	f.lives++
+	f.serial = max(f.serial, w.serial+1)
 }
 
 // Take returns what has to be done since the last call and clears it.
@@ -356,9 +362,8 @@
 		f.out.Commands = append(f.out.Commands, tbflow.NoteEnds{Worker: w.ID, Born: w.Born, Ends: gone})
 		f.out.Notes = append(f.out.Notes, Note{What: "worker restarted", Worker: w.ID, Detail: "its earlier runs have ended"})
 	}
-	f.lives++
 	*w = Worker{
-		Report: r, runs: kept, HeardAt: now, lives: f.lives, fence: true, grantedAt: w.grantedAt,
+		Report: r, runs: kept, HeardAt: now, serial: w.serial + 1, fence: true, grantedAt: w.grantedAt,
 	}
 }
 
@@ -387,7 +392,7 @@
 }
 
 func (f *Fleet) target(w *Worker) Target {
-	return Target{ID: w.ID, Address: w.Address, Born: w.Born, Token: f.token<<livesBits | w.lives}
+	return Target{ID: w.ID, Address: w.Address, Born: w.Born, Token: f.token<<serialBits | w.serial}
 }
 
 func (f *Fleet) call(c Call) { f.out.Calls = append(f.out.Calls, c) }
--- a/core/tbfleet/look.go
+++ b/core/tbfleet/look.go
@@ -48,9 +48,10 @@
 		return
 	}
 	look := Look{Target: f.target(w), Timeout: f.terms.OrderTimeout}
-	if w.adopted && !w.Silent && w.noted < w.seen {
+	if w.adopted && !w.Silent && w.noted < w.seen && !w.hasOpenStart() {
 		// Another life would forget ends of its own by the numbers of this one's.
 		look.Seen = w.seen
+		w.naming = true
 	}
 	settled := w.adopted && !w.Silent && !w.hasDoubt()
 	if len(w.runs) > 0 && !w.Silent {
@@ -60,10 +61,20 @@
 		look.Wait = f.terms.LookWait
 		look.Timeout += look.Wait
 	}
-	w.looking = true
+	w.looking, w.overtaken = true, false
 	f.call(look)
 }
 
+// hasOpenStart reports whether a start may still be carried out that no answer has told of.
+func (w *Worker) hasOpenStart() bool {
+	for _, run := range w.runs {
+		if run.Phase == RunOrdered || run.Phase == RunDoubtful && !run.listed {
+			return true
+		}
+	}
+	return false
+}
+
 // hasDoubt reports whether a run's fate has to be asked for soon.
 func (w *Worker) hasDoubt() bool {
 	for _, run := range w.runs {
@@ -88,6 +99,9 @@
 	case a.Verdict == OtherLife:
 		f.replace(now, w)
 		return
+	case a.Verdict == Refused && w.overtaken:
+		f.tend(now, w)
+		return
 	case a.Verdict == Accepted && a.ActualBorn > w.Born:
 		r := w.Report
 		r.Born, r.Sequence, r.Draining, r.ClockMs = a.ActualBorn, 0, false, a.ClockMs
@@ -115,6 +129,9 @@
 	}
 	w.Silent, w.adopted, w.fence = false, true, false
 	w.noted = max(w.noted, a.Seen)
+	if a.Seen > 0 {
+		w.naming = false
+	}
 	w.HeardAt = now
 	w.retryAt = time.Time{}
 	w.clock.take(now, a.ClockMs)
--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -43,6 +43,7 @@
 		f.neverRan(w, a.Born, a.Ref, run)
 		return
 	}
+	w.passNaming()
 	f.call(Start{
 		Target: f.target(w), Ref: a.Ref, Run: a.Run, Spec: j.Spec, Checkpoint: t.Checkpoint,
 		LeaseEndMs: f.extend(now, w), Timeout: f.terms.OrderTimeout,
@@ -50,6 +51,17 @@
 	f.tend(now, w)
 }
 
+// passNaming keeps a look that names ends from being carried out after the orders to come.
+//
+// A worker that starts again under its id may get both from before its start. If it carried
+// out a start and then the look, it would forget the end of the run before anybody read it.
+func (w *Worker) passNaming() {
+	if w.naming {
+		w.serial++
+		w.naming, w.overtaken = false, w.looking
+	}
+}
+
 func (f *Fleet) neverRan(w *Worker, born int64, ref tbflow.TaskRef, run *Run) {
 	run.Phase = RunEnding
 	f.out.Commands = append(f.out.Commands, tbflow.NoteEnds{Worker: w.ID, Born: born, Ends: []tbflow.End{
--- a/core/tbfleet/restarted_test.go
+++ b/core/tbfleet/restarted_test.go
@@ -17,9 +17,11 @@
 	state  *tbflow.State
 	fleet  *tbfleet.Fleet
 	worker *fakeWorker
-	// looks are under way; renewal is the last one that renewed the lease.
+	// looks are under way; renewal is the last one that renewed the lease, and naming is the last
+	// one that named ends as recorded.
 	looks     []tbfleet.Look
 	renewal   tbfleet.Look
+	naming    tbfleet.Look
 	renewedAt time.Time
 }
 
@@ -98,6 +100,9 @@
 	for _, c := range out.Calls {
 		if l, ok := c.(tbfleet.Look); ok {
 			o.looks = append(o.looks, l)
+			if l.Seen > 0 {
+				o.naming = l
+			}
 			if l.LeaseEndMs > 0 {
 				o.renewal, o.renewedAt = l, o.now
 			}
