Doubt a start that a later life of its worker accepted

Cause: the answer to a start does not name the life that gave it. A worker restarted under its id and accepted a start before the leader knew. The leader took the lease for one by the clock that it knew, while a late look to the earlier life let it last up to 6 s from that look's arrival.

Change: the answer carries the worker's clock, which begins anew with each life. A clock behind the known one proves a restart, and the run is doubted like one that was not answered: it is kept until no late order can have an effect any more. Starts that the known life accepted wait no longer than before.

--- a/core/tbfleet/clock.go
+++ b/core/tbfleet/clock.go
@@ -15,6 +15,23 @@
 	}
 }
 
+// clockSlack is by how much two readings of one clock may seem to disagree.
+const clockSlack = 100 * time.Millisecond
+
+// behind reports whether ms, read after since, is less than the clock can have shown then.
+//
+// That proves a restart, since a worker's clock begins anew with each life.
+func (c clockReading) behind(since time.Time, ms int64, rateBound float64) bool {
+	if !c.known() || ms <= 0 {
+		return false
+	}
+	passed := since.Sub(c.at)
+	if passed > 0 {
+		passed = time.Duration(float64(passed) * (1 - rateBound))
+	}
+	return time.Duration(ms-c.ms)*time.Millisecond < passed-clockSlack
+}
+
 func (c clockReading) known() bool { return !c.at.IsZero() }
 
 // age returns how old the reading is, or 0 where there is none.
--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -69,7 +69,7 @@
 	// out, and overtaken once an order got a higher serial than the look that is under way.
 	naming    bool
 	overtaken bool
-	runs    map[tbflow.TaskRef]*Run
+	runs      map[tbflow.TaskRef]*Run
 }
 
 // Run is one run that a worker has, or may have.
@@ -323,7 +323,7 @@
 
 // uncertain reports whether the run may be at a later life of the worker than the order meant.
 //
-// Only lists of runs tell which life they come from; the answer to a start does not.
+// Lists of runs tell which life they come from; the answer to a start has only its clock.
 func (r *Run) uncertain() bool {
 	return r.Phase != RunEnding && !r.listed
 }
--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -83,15 +83,21 @@
 		f.tend(now, w)
 		return
 	}
+	laterLife := w.clock.behind(run.sentAt, a.ClockMs, f.terms.ClockRateBound)
+	if !laterLife {
+		w.clock.take(now, a.ClockMs)
+	}
 	switch a.Verdict {
 	case Accepted:
+		if laterLife && !run.listed {
+			f.startedByLaterLife(w, a, run)
+			break
+		}
 		w.HeardAt = now
-		w.clock.take(now, a.ClockMs)
 		if run.Phase == RunOrdered {
 			run.Phase, run.settledAt = RunGoingOn, now
 		}
 	case Refused:
-		w.clock.take(now, a.ClockMs)
 		f.startRefused(now, w, a, run)
 	case OtherLife:
 		f.replace(now, w)
@@ -105,6 +111,18 @@
 	f.tend(now, w)
 }
 
+// startedByLaterLife doubts a run that a life has accepted of which the leader does not know yet.
+//
+// An order to the life before names a lease end that this life's clock does not reach for long;
+// carried out late, it lets the run outlast the lease that the leader reckons with.
+func (f *Fleet) startedByLaterLife(w *Worker, a StartAnswered, run *Run) {
+	f.out.Notes = append(f.out.Notes, Note{
+		What: "start accepted by a later life", Worker: w.ID, Ref: a.Ref, Run: a.Run,
+		Inputs: []any{"clockMs", a.ClockMs, "knownClockMs", w.clock.ms},
+	})
+	run.Phase, run.born, run.stopWish = RunDoubtful, w.Born, true
+}
+
 func (f *Fleet) startRefused(now time.Time, w *Worker, a StartAnswered, run *Run) {
 	f.out.Notes = append(f.out.Notes, Note{What: "start refused", Worker: w.ID, Ref: a.Ref, Run: a.Run, Detail: a.Cause})
 	if a.Cause == CauseNoRoom {
