Order a pace again that its worker did not confirm

Cause: a pace was taken for set once it was ordered. A new leader took all runs for running at full speed, so that it never spoke to those that the one before had stopped.

Change: the answer to a pace comes back to the leader. A pace that is not confirmed is ordered again after a second, as is one that a late order of another pace may still undo, and the paces of the runs that a new leader takes over.

--- a/core/tbassign/assign_test.go
+++ b/core/tbassign/assign_test.go
@@ -236,13 +236,13 @@
 		if tick < 60 && tick%5 == 0 {
 			// Tasks of both images come and go while the model learns.
 			for i, id := range []string{"f1", "f2"} {
-				b.fleet.SetPace("w00", tbflow.TaskRef{Job: id}, 100*((tick/5+i)%2))
+				b.fleet.SetPace(b.now, "w00", tbflow.TaskRef{Job: id}, 100*((tick/5+i)%2))
 			}
 		}
 		w := b.look("w00", harmed(b, rng, tick))
 		if tick >= 60 {
 			for _, p := range b.learn.Paces(b.now, b.state, w) {
-				b.fleet.SetPace("w00", p.Ref, p.Percent)
+				b.fleet.SetPace(b.now, "w00", p.Ref, p.Percent)
 			}
 			w.EachRun(func(ref tbflow.TaskRef, r *tbfleet.Run) {
 				if s := b.state.StepOf(ref); s.Lasting && r.Reading > 50 && tick > 65 {
@@ -274,7 +274,7 @@
 		w := b.look("w00", func(s *tbflow.Step, _ *tbfleet.Run) int64 { return 70 })
 		last = append(last, b.learn.Paces(b.now, b.state, w)...)
 		for _, p := range last {
-			b.fleet.SetPace("w00", p.Ref, p.Percent)
+			b.fleet.SetPace(b.now, "w00", p.Ref, p.Percent)
 		}
 	}
 	qt.Assert(t, len(last) > 0, qt.IsTrue)
--- a/core/tbcontrol/control.go
+++ b/core/tbcontrol/control.go
@@ -121,6 +121,10 @@
 		if c.leadsIn(ev.Term) {
 			c.lead.flow.fleet.StopAnswered(now, ev.Answer)
 		}
+	case PaceAnswered:
+		if c.leadsIn(ev.Term) {
+			c.lead.flow.fleet.PaceAnswered(now, ev.Answer)
+		}
 	case LookAnswered:
 		if c.leadsIn(ev.Term) {
 			c.onLook(now, ev.Answer)
--- a/core/tbcontrol/flow.go
+++ b/core/tbcontrol/flow.go
@@ -367,7 +367,7 @@
 
 func (l *flowLead) setPaces(c *Control, now time.Time, w *tbfleet.Worker) {
 	for _, p := range l.learner.Paces(now, c.state.Flow, w) {
-		l.fleet.SetPace(w.ID, p.Ref, p.Percent)
+		l.fleet.SetPace(now, w.ID, p.Ref, p.Percent)
 	}
 }
 
--- a/core/tbcontrol/question.go
+++ b/core/tbcontrol/question.go
@@ -105,7 +105,7 @@
 	Question Question
 }
 
-// StartAnswered, StopAnswered and LookAnswered bring a worker's answer to an order of a term.
+// StartAnswered, StopAnswered, PaceAnswered and LookAnswered bring a worker's answer to an order of a term.
 type (
 	StartAnswered struct {
 		Answer tbfleet.StartAnswered
@@ -115,6 +115,10 @@
 		Answer tbfleet.StopAnswered
 		Term   uint64
 	}
+	PaceAnswered struct {
+		Answer tbfleet.PaceAnswered
+		Term   uint64
+	}
 	LookAnswered struct {
 		Answer tbfleet.LookAnswered
 		Term   uint64
@@ -124,6 +128,7 @@
 func (QuestionArrived) isEvent() {}
 func (StartAnswered) isEvent()   {}
 func (StopAnswered) isEvent()    {}
+func (PaceAnswered) isEvent()    {}
 func (LookAnswered) isEvent()    {}
 
 // AnswerQuestion answers QuestionArrived.
--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -86,6 +86,11 @@
 	// Pace is the ordered share of speed in percent.
 	Pace int
 
+	// pacedAt is when the pace was last ordered, and paceOpen true until that is confirmed.
+	pacedAt   time.Time
+	paceOpen  bool
+	latePaces []latePace
+
 	// born is the earlier life under which the state holds the run, or 0 for the present one.
 	born int64
 	// listed is true once a list of the life that the order meant showed the run.
@@ -150,6 +155,10 @@
 		s.EachRun(id, func(ref tbflow.TaskRef, t *tbflow.Task) {
 			age := max(0, time.Duration(s.NowMs-t.AssignedMs)*time.Millisecond-clockDisagreement)
 			run := &Run{Run: t.Run, Checkpoint: t.Checkpoint, Pace: FullPace, sentAt: now.Add(-age)}
+			if step := s.StepOf(ref); step != nil && step.Fills {
+				// The leader before may have ordered another pace.
+				run.pacedAt, run.paceOpen = now, true
+			}
 			if t.Born < w.Born {
 				run.Phase, run.born = RunDoubtful, t.Born
 			}
--- a/core/tbfleet/look.go
+++ b/core/tbfleet/look.go
@@ -32,6 +32,7 @@
 }
 
 func (f *Fleet) tendRun(now time.Time, w *Worker, ref tbflow.TaskRef, run *Run) {
+	f.tendPace(now, w, ref, run)
 	if !run.stopWish || run.Phase == RunEnding || run.Phase == RunOrdered {
 		return
 	}
--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -186,17 +186,6 @@
 	f.Stop(now, worker, ref)
 }
 
-// SetPace orders a share of speed for a run that is going on.
-func (f *Fleet) SetPace(worker string, ref tbflow.TaskRef, percent int) {
-	w := f.workers[worker]
-	if w == nil || w.runs[ref] == nil || w.runs[ref].Phase != RunGoingOn || w.runs[ref].Pace == percent {
-		return
-	}
-	run := w.runs[ref]
-	run.Pace = percent
-	f.call(Pace{Target: f.target(w), Ref: ref, Run: run.Run, Percent: percent, Timeout: f.terms.OrderTimeout})
-}
-
 // StopAnswered takes the answer to Stop.
 func (f *Fleet) StopAnswered(now time.Time, a StopAnswered) {
 	w := f.workers[a.Worker]
--- a/core/tbfleet/types.go
+++ b/core/tbfleet/types.go
@@ -89,7 +89,7 @@
 	Timeout time.Duration
 }
 
-// Pace sets the share of its speed at which a run works; nothing depends on the answer.
+// Pace sets the share of its speed at which a run works; the answer is PaceAnswered.
 type Pace struct {
 	Target  Target
 	Ref     tbflow.TaskRef
@@ -138,6 +138,16 @@
 	Verdict Verdict
 }
 
+// PaceAnswered is the answer to Pace.
+type PaceAnswered struct {
+	Worker  string
+	Born    int64
+	Ref     tbflow.TaskRef
+	Run     uint64
+	Percent int
+	Verdict Verdict
+}
+
 // RunReport is one run that a worker lists as going on.
 type RunReport struct {
 	Ref        tbflow.TaskRef
--- a/io/tbdaemon/adapter.go
+++ b/io/tbdaemon/adapter.go
@@ -15,7 +15,7 @@
 	Start(ctx context.Context, o tbfleet.Start) tbfleet.StartAnswered
 	Stop(ctx context.Context, o tbfleet.Stop) tbfleet.StopAnswered
 	Look(ctx context.Context, o tbfleet.Look) tbfleet.LookAnswered
-	Pace(ctx context.Context, o tbfleet.Pace)
+	Pace(ctx context.Context, o tbfleet.Pace) tbfleet.PaceAnswered
 }
 
 // Adapter serves an outside platform's callers, workers and operators in their own protocol.
@@ -52,8 +52,8 @@
 		ev = tbcontrol.LookAnswered{Answer: a, Term: order.Term}
 		name = latencyWorkerLook
 	case tbfleet.Pace:
-		d.adapter.Pace(d.ctx, c)
-		return
+		ev = tbcontrol.PaceAnswered{Answer: d.adapter.Pace(d.ctx, c), Term: order.Term}
+		name = latencyWorkerPace
 	}
 	d.counters.histograms.observe(name, time.Since(began))
 	d.push(tbnode.Event{Control: ev})
--- a/io/tbdaemon/histograms.go
+++ b/io/tbdaemon/histograms.go
@@ -21,6 +21,7 @@
 	latencyAsk         = "ask"
 	latencyWorkerStart = "workerStart"
 	latencyWorkerStop  = "workerStop"
+	latencyWorkerPace  = "workerPace"
 	latencyWorkerLook  = "workerLook"
 	latencyDiskSync    = "diskSync"
 )
