Count a tail that hovers at its target as over it

Cause: all filling tasks stand still once a tail has been over its target for 1.5 s, but each reading that was barely below began that time anew. Readings are rough. Weighing them against the tail does not end this: eight filling tasks outweigh one tail at its target.

Change: once a tail was over its target, only a reading that is a tenth below it ends the time.

Evidence: TestStopsAllFillersWhenATailHoversAtItsTarget failed before.

--- a/core/tbassign/assign_test.go
+++ b/core/tbassign/assign_test.go
@@ -281,6 +281,32 @@
 	qt.Check(t, last[len(last)-1].Percent, qt.Equals, 0)
 }
 
+// A tail hovers about its target of 50 ms, a reading now above and now below it. Each one below
+// began the time anew, and the filling tasks worked on beside it for seconds.
+func TestStopsAllFillersWhenATailHoversAtItsTarget(t *testing.T) {
+	b := newBench(t, 1)
+	b.submit("watch", "w", watcher(1, "watch"))
+	b.plan()
+	b.submit("fill", "f", filler(8, "x"))
+	b.plan()
+	stoodStill := false
+	for _, reading := range []int64{51, 49, 51, 48} {
+		b.now = b.now.Add(time.Second)
+		w := b.look("w00", func(s *tbflow.Step, _ *tbfleet.Run) int64 { return reading })
+		for _, p := range b.learn.Paces(b.now, b.state, w) {
+			b.fleet.SetPace(b.now, "w00", p.Ref, p.Percent)
+		}
+		fastest := 0
+		w.EachRun(func(ref tbflow.TaskRef, r *tbfleet.Run) {
+			if b.state.StepOf(ref).Fills {
+				fastest = max(fastest, r.Pace)
+			}
+		})
+		stoodStill = stoodStill || fastest == 0
+	}
+	qt.Check(t, stoodStill, qt.IsTrue)
+}
+
 // A worker answers, but a task on it makes no progress.
 func TestFindsARunThatStandsStill(t *testing.T) {
 	b := newBench(t, 1)
--- a/core/tbassign/learn.go
+++ b/core/tbassign/learn.go
@@ -15,7 +15,7 @@
 	// harm holds the slopes by lasting image.
 	harm      map[string]*slopes
 	looks     map[string]lookAt
-	overSince map[string]time.Time
+	overSince map[string]map[tbflow.TaskRef]time.Time
 	// paced holds the workers whose paces changed since the last look that was learned from.
 	paced map[string]bool
 }
@@ -24,7 +24,7 @@
 func NewLearner() *Learner {
 	return &Learner{
 		ratios: map[tbflow.QueueKey]float64{}, harm: map[string]*slopes{},
-		looks: map[string]lookAt{}, overSince: map[string]time.Time{}, paced: map[string]bool{},
+		looks: map[string]lookAt{}, overSince: map[string]map[tbflow.TaskRef]time.Time{}, paced: map[string]bool{},
 	}
 }
 
--- a/core/tbassign/pace.go
+++ b/core/tbassign/pace.go
@@ -22,6 +22,9 @@
 	lowestPace = 10
 	// slowAllAfter is how long a tail may stay over its target before all filling tasks stand still for it.
 	slowAllAfter = 1500 * time.Millisecond
+	// clearMargin is the margin from which a tail that was over its target is surely below it:
+	// readings are rough by some percent.
+	clearMargin = 1.1
 )
 
 // PaceChange is a new pace of one run.
@@ -60,23 +63,37 @@
 }
 
 // overLong reports whether a tail on the worker is over its target for too long.
+//
+// One reading that is barely below the target does not begin the time anew: a tail that
+// hovers there may have been over it all the while.
 func (l *Learner) overLong(now time.Time, s *tbflow.State, w *tbfleet.Worker) bool {
-	over := false
+	before := l.overSince[w.ID]
+	var after map[tbflow.TaskRef]time.Time
+	long := false
 	w.EachRun(func(ref tbflow.TaskRef, r *tbfleet.Run) {
-		if step := s.StepOf(ref); step != nil && servesUsers(step, r) && marginOf(step, r) < 1 {
-			over = true
+		step := s.StepOf(ref)
+		if step == nil || !servesUsers(step, r) {
+			return
+		}
+		margin := marginOf(step, r)
+		since, wasOver := before[ref]
+		switch {
+		case margin >= clearMargin, margin >= 1 && !wasOver:
+			return
+		case !wasOver:
+			since = now
 		}
+		if after == nil {
+			after = map[tbflow.TaskRef]time.Time{}
+		}
+		after[ref] = since
+		long = long || now.Sub(since) > slowAllAfter
 	})
-	if !over {
-		delete(l.overSince, w.ID)
-		return false
-	}
-	since, ok := l.overSince[w.ID]
-	if !ok {
-		l.overSince[w.ID] = now
-		return false
+	delete(l.overSince, w.ID)
+	if after != nil {
+		l.overSince[w.ID] = after
 	}
-	return now.Sub(since) > slowAllAfter
+	return long
 }
 
 // FinishesBefore reports whether a run on a draining worker is expected to end in time by itself.
