Let no list of an earlier life settle a start of a later one

A start that a later life accepted was doubted under the life that the leader knew, and the next list that did not show it settled it as never run. That list may be one that the earlier life sent before it ended, so that the task started again while it ran. Now the look has to be sent after the start was answered: whoever answers it has the run or lists its end.

TestListOfAnEarlierLifeDoesNotSettleAStartOfTheNextLife failed before and passes; the tests of core/tbfleet pass, with schedules 1 to 150.

--- a/core/tbfleet/look.go
+++ b/core/tbfleet/look.go
@@ -223,8 +223,9 @@
 // settleMissing gives up runs that the worker neither runs nor lists as ended.
 //
 // That is final only for a run whose order can no longer take effect: one of an
-// earlier leader, which the token of this look fences off, or one that this worker
-// confirmed to have blocked before the look was sent.
+// earlier leader or life, which the token of this look fences off, or one that this worker
+// confirmed to have blocked before the look was sent. A look that was sent before a later
+// life was known to have the run may list what an earlier one had.
 func (f *Fleet) settleMissing(w *Worker, a LookAnswered) {
 	listed := make(map[tbflow.TaskRef]bool, len(a.Running))
 	for _, r := range a.Running {
@@ -237,8 +238,9 @@
 			continue
 		}
 		blocked := !run.stopAcked.IsZero() && a.SentAt.After(run.stopAcked)
+		earlier := run.born != 0 && a.SentAt.After(run.settledAt)
 		switch {
-		case run.Phase == RunUnknown, run.born != 0, blocked:
+		case run.Phase == RunUnknown, earlier, blocked:
 			f.neverRan(w, w.recordedBorn(run), ref, run)
 		case run.Phase == RunGoingOn && a.SentAt.After(run.settledAt):
 			run.stopWish = true
--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -90,7 +90,7 @@
 	switch a.Verdict {
 	case Accepted:
 		if laterLife && !run.listed {
-			f.startedByLaterLife(w, a, run)
+			f.startedByLaterLife(now, w, a, run)
 			break
 		}
 		w.HeardAt = now
@@ -115,12 +115,12 @@
 //
 // An order to the life before names a lease end that this life's clock does not reach for long;
 // carried out late, it lets the run outlast the lease that the leader reckons with.
-func (f *Fleet) startedByLaterLife(w *Worker, a StartAnswered, run *Run) {
+func (f *Fleet) startedByLaterLife(now time.Time, w *Worker, a StartAnswered, run *Run) {
 	f.out.Notes = append(f.out.Notes, Note{
 		What: "start accepted by a later life", Worker: w.ID, Ref: a.Ref, Run: a.Run,
 		Inputs: []any{"clockMs", a.ClockMs, "knownClockMs", w.clock.ms},
 	})
-	run.Phase, run.born, run.stopWish = RunDoubtful, w.Born, true
+	run.Phase, run.born, run.settledAt, run.stopWish = RunDoubtful, w.Born, now, true
 }
 
 func (f *Fleet) startRefused(now time.Time, w *Worker, a StartAnswered, run *Run) {
