List an unanswered look that forgets an end of the next life

The test fails: a look that names ends is not answered, a later one is. The leader then takes it that no such look is under way and sends a start with the same token. The worker starts again under its id; its next life carries out the start, then the first look, and forgets the end of the run unread. The task starts again after it ended as done.

--- a/core/tbfleet/forgotten_test.go
+++ b/core/tbfleet/forgotten_test.go
@@ -77,3 +77,20 @@
 	o.pass(10*time.Millisecond, true)
 	qt.Check(t, o.worker.seen, qt.Equals, uint64(1))
 }
+
+// A look that names ends is not answered, and a later one is. The first may still be carried out
+// late; a start that is sent then must be fenced off from it, since the worker's next life could
+// carry out the start and then the look, and forget the end of the run unread.
+func TestUnansweredLookForgetsNoEndOfTheNextLifeOnceALaterOneIsAnswered(t *testing.T) {
+	o := newOneWorker()
+	look := o.lookThatNames(t, "a")
+	o.looks = nil
+	o.silent(look)
+	o.pass(2*time.Second, true)
+	qt.Assert(t, o.worker.seen, qt.Equals, uint64(1))
+
+	late := o.submit("late", false)
+	o.fleet.StartAnswered(o.now, tbfleet.StartAnswered{Worker: "w", Born: late.Target.Born, Ref: late.Ref, Run: late.Run})
+	o.restartInto(t, late, look)
+	qt.Check(t, o.task("late").Phase, qt.Equals, tbflow.TaskDone)
+}
