Fence off a look that names ends once it is not answered

The flag that makes the next start raise the token was cleared by the answer to any look that names ends, while an earlier one without an answer could still be carried out with the same token. The token is raised as soon as such a look is not answered.

TestUnansweredLookForgetsNoEndOfTheNextLifeOnceALaterOneIsAnswered failed before and passes; the tests of core/tbfleet pass, with schedules 1 to 150.

--- a/core/tbfleet/look.go
+++ b/core/tbfleet/look.go
@@ -115,6 +115,8 @@
 			f.out.Notes = append(f.out.Notes, Note{What: "worker does not answer", Worker: w.ID, Inputs: w.leaseInputs(now)})
 		}
 		w.Silent = true
+		// It may still be carried out, also after the answer to a later one.
+		w.passNaming()
 		w.retryAt = now.Add(f.terms.RetryPause)
 		f.tend(now, w)
 		return
