--- a/core/tbfleet/worker_fake_test.go
+++ b/core/tbfleet/worker_fake_test.go
@@ -61,6 +61,8 @@
 	fakeMaxLease = 6000
 	// fakeRoom is the number of runs at which a worker refuses more.
 	fakeRoom = 12
+	// endsPerList is how many ends a list shows; the others follow once these are named as recorded.
+	endsPerList = 500
 )
 
 func newFakeWorker(id string, now time.Time, rate float64) *fakeWorker {
@@ -214,7 +216,8 @@
 	for _, ref := range w.sorted() {
 		a.Running = append(a.Running, tbfleet.RunReport{Ref: ref, Run: w.running[ref].run, Percent: 50})
 	}
-	for _, e := range w.listed() {
+	listed := w.listed()
+	for _, e := range listed[:min(len(listed), endsPerList)] {
 		a.Ended = append(a.Ended, tbfleet.EndReport{Number: e.number, Ref: e.ref, Run: e.run, Kind: e.kind})
 	}
 	return a
