Settle no run that a list may leave out

A list shows 500 ends at most, and leaves out rows that cannot be read. A run of an earlier leader that such a list does not show was settled as never run, and its task started again after it had ended. Such a list settles nothing now; the next ones show the rest once ends are named.

--- a/core/tbfleet/look.go
+++ b/core/tbfleet/look.go
@@ -139,7 +139,9 @@
 	w.clock.take(now, a.ClockMs)
 	f.takeRunning(now, w, a)
 	f.takeEnded(now, w, a)
-	f.settleMissing(w, a)
+	if !a.Partial {
+		f.settleMissing(w, a)
+	}
 	if w.hasDoubt() {
 		w.retryAt = now.Add(doubtPause)
 	}
--- a/core/tbfleet/types.go
+++ b/core/tbfleet/types.go
@@ -170,6 +170,8 @@
 	ClockMs    int64
 	Running    []RunReport
 	Ended      []EndReport
+	// Partial is true where the lists may leave runs out.
+	Partial bool
 }
 
 // Note is something that an on-call engineer should find in the log.
--- a/core/tbfleet/worker_fake_test.go
+++ b/core/tbfleet/worker_fake_test.go
@@ -217,6 +217,7 @@
 		a.Running = append(a.Running, tbfleet.RunReport{Ref: ref, Run: w.running[ref].run, Percent: 50})
 	}
 	listed := w.listed()
+	a.Partial = len(listed) >= endsPerList
 	for _, e := range listed[:min(len(listed), endsPerList)] {
 		a.Ended = append(a.Ended, tbfleet.EndReport{Number: e.number, Ref: e.ref, Run: e.run, Kind: e.kind})
 	}
