Let a worker whose ends pile up take no more starts

No look names ends while a start is open, and at a worker that gets a start more often than one is answered, one always is: the lists grow until they show no new ends. A worker that lists 100 recorded ends gets no new tasks until a look has named them, which follows within a round trip.

TestOpenStartsDoNotKeepEndsFromBeingNamed failed before (180 of 700 tasks not recorded as done) and passes; the tests of core pass.

--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -69,7 +69,9 @@
 	// out, and overtaken once an order got a higher serial than the look that is under way.
 	naming    bool
 	overtaken bool
-	runs      map[tbflow.TaskRef]*Run
+	// unnamed is the number of recorded ends that the last list still showed.
+	unnamed int
+	runs    map[tbflow.TaskRef]*Run
 }
 
 // Run is one run that a worker has, or may have.
@@ -234,10 +236,14 @@
 	}
 }
 
+// maxUnnamed is how many recorded ends a worker may list before it gets no new tasks: while a
+// start is open they are not named, and a list shows only so many.
+const maxUnnamed = 100
+
 // Usable reports whether the worker may get a new task now.
 func (f *Fleet) Usable(w *Worker, now time.Time) bool {
 	return w.known && !w.Draining && !w.Silent && !w.fence && w.clock.known() &&
-		now.Sub(w.HeardAt) < f.terms.HeartbeatSilence && !now.Before(w.AvoidUntil)
+		w.unnamed < maxUnnamed && now.Sub(w.HeardAt) < f.terms.HeartbeatSilence && !now.Before(w.AvoidUntil)
 }
 
 // EachRun calls visit for each run of the worker in no particular order.
--- a/core/tbfleet/look.go
+++ b/core/tbfleet/look.go
@@ -193,9 +193,11 @@
 // takeEnded proposes to record all newly listed ends.
 func (f *Fleet) takeEnded(now time.Time, w *Worker, a LookAnswered) {
 	through := w.seen
+	w.unnamed = 0
 	c := tbflow.NoteEnds{Worker: w.ID, Born: w.Born}
 	for _, e := range a.Ended {
 		if e.Number <= w.seen {
+			w.unnamed++
 			continue
 		}
 		through = max(through, e.Number)
