Take no late heartbeat for the present reading of a clock

Heartbeats arrive seconds late, and each replaced the known reading of the worker's clock. The clock then seemed to be behind, so that a later life whose clock began in between went unnoticed, and leases ended early. A reading that may be older than the known one is now taken only where it shows more than that proves. Answers to orders that were sent after it replace it as before.

TestLateHeartbeatDoesNotHideALaterLife failed before and passes; the tests of core/tbfleet pass, with schedules 1 to 150.

--- a/core/tbfleet/clock.go
+++ b/core/tbfleet/clock.go
@@ -8,9 +8,12 @@
 	at time.Time
 }
 
-// take replaces the reading; workers report 0 where they name no time.
-func (c *clockReading) take(now time.Time, ms int64) {
-	if ms > 0 {
+// take replaces the reading by one that was made after since; workers report 0 where they name no time.
+//
+// One that may be older than the known one is taken only where it shows more than that proves.
+func (c *clockReading) take(now, since time.Time, ms int64, rateBound float64) {
+	least, ok := c.atLeast(now, rateBound)
+	if ms > 0 && (!ok || ms > least || since.After(c.at)) {
 		*c = clockReading{ms: ms, at: now}
 	}
 }
--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -278,7 +278,7 @@
 	w.Draining = r.Draining || draining
 	w.known = true
 	w.HeardAt = now
-	w.clock.take(now, r.ClockMs)
+	w.clock.take(now, time.Time{}, r.ClockMs, f.terms.ClockRateBound)
 	f.tend(now, w)
 	return true
 }
--- a/core/tbfleet/look.go
+++ b/core/tbfleet/look.go
@@ -107,7 +107,7 @@
 		r.Born, r.Sequence, r.Draining, r.ClockMs = a.ActualBorn, 0, false, a.ClockMs
 		f.reborn(now, w, r)
 		w.known = true
-		w.clock.take(now, a.ClockMs)
+		w.clock.take(now, a.SentAt, a.ClockMs, f.terms.ClockRateBound)
 		f.tend(now, w)
 		return
 	case a.Verdict != Accepted:
@@ -136,7 +136,7 @@
 	}
 	w.HeardAt = now
 	w.retryAt = time.Time{}
-	w.clock.take(now, a.ClockMs)
+	w.clock.take(now, a.SentAt, a.ClockMs, f.terms.ClockRateBound)
 	f.takeRunning(now, w, a)
 	f.takeEnded(now, w, a)
 	if !a.Partial {
--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -85,7 +85,7 @@
 	}
 	laterLife := w.clock.behind(run.sentAt, a.ClockMs, f.terms.ClockRateBound)
 	if !laterLife {
-		w.clock.take(now, a.ClockMs)
+		w.clock.take(now, run.sentAt, a.ClockMs, f.terms.ClockRateBound)
 	}
 	switch a.Verdict {
 	case Accepted:
