Let schedules restart workers while answers are on their way

Answers were lost with the life that gave them, clocks of all lives began at the same reading, and a worker was away for 100 ms at least. Now an answer that has left arrives, clocks begin anywhere, and a worker may restart within moments, at times twice.

--- a/core/tbfleet/faults_fake_test.go
+++ b/core/tbfleet/faults_fake_test.go
@@ -23,7 +23,7 @@
 
 // fault lets one thing go wrong.
 func (w *world) fault() {
-	switch w.rng.IntN(10) {
+	switch w.rng.IntN(11) {
 	case 0:
 		w.crashLeader()
 	case 1:
@@ -43,6 +43,8 @@
 		w.note("orders are carried out late")
 	case 9:
 		w.disturbRun()
+	case 10:
+		w.restartWorker(w.someAddress())
 	}
 	if w.rng.Float64() < 0.05 {
 		w.strikeTogether()
@@ -140,6 +142,26 @@
 	delete(w.hosts, fw.address)
 }
 
+// restartWorker lets a worker start again under its id within moments, at times twice, while
+// orders to it are under way.
+func (w *world) restartWorker(address string) {
+	fw := w.hosts[address]
+	if fw == nil {
+		return
+	}
+	w.note("%s/%d restarts", fw.id, fw.born)
+	w.end(fw)
+	after := w.between(step, 400*time.Millisecond)
+	w.lasts(after)
+	w.after(after, func() {
+		w.join(fw.id, fw.address)
+		if w.rng.IntN(4) == 0 {
+			w.after(w.between(step, 2*time.Second), func() { w.restartWorker(fw.address) })
+			w.lasts(3 * time.Second)
+		}
+	})
+}
+
 // comeBack starts the next life: under the same id or another one, at the same address or another one.
 func (w *world) comeBack(fw *fakeWorker, after time.Duration) {
 	w.lasts(after)
--- a/core/tbfleet/network_fake_test.go
+++ b/core/tbfleet/network_fake_test.go
@@ -70,19 +70,26 @@
 		if lost {
 			return
 		}
-		pause := w.trip(slowAnswer)
+		var pause time.Duration
 		if _, ok := c.(tbfleet.Look); ok && wait > 0 {
-			pause += time.Duration(w.rng.Int64N(int64(wait)))
+			pause = time.Duration(w.rng.Int64N(int64(wait)))
 		}
 		w.after(pause, func() {
-			if w.cutFrom(target.Address, l).answers || w.hosts[target.Address] != fw || w.now.Sub(sent) >= timeout {
+			if w.hosts[target.Address] != fw {
 				w.after(sent.Add(timeout).Sub(w.now), unanswered)
 				return
 			}
 			if list, ok := a.(tbfleet.LookAnswered); ok && list.Verdict == tbfleet.Accepted {
 				a = fw.list(w.now, list)
 			}
-			w.answer(l, sent, c, a)
+			// From here on the answer is on its way, also when the life that gave it ends.
+			w.after(w.trip(slowAnswer), func() {
+				if w.cutFrom(target.Address, l).answers || w.now.Sub(sent) >= timeout {
+					w.after(sent.Add(timeout).Sub(w.now), unanswered)
+					return
+				}
+				w.answer(l, sent, c, a)
+			})
 		})
 	})
 }
--- a/core/tbfleet/schedule_test.go
+++ b/core/tbfleet/schedule_test.go
@@ -112,6 +112,8 @@
 	w.note("%s starts at %s", id, address)
 	fw := newFakeWorker(id, w.now, 0.98+0.02*w.rng.Float64())
 	fw.address, fw.judge = address, w.judge
+	// Clocks of lives begin anywhere, at times near where the one before was.
+	fw.firstMs = 1 + w.rng.Int64N([]int64{10_000, 100_000, 10_000_000}[w.rng.IntN(3)])
 	w.hosts[address] = fw
 }
 
--- a/core/tbfleet/worker_fake_test.go
+++ b/core/tbfleet/worker_fake_test.go
@@ -33,11 +33,13 @@
 
 // fakeWorker is one life of a worker that follows the workers' side of the protocol.
 type fakeWorker struct {
-	id       string
-	address  string
-	born     int64
-	start    time.Time
-	rate     float64
+	id      string
+	address string
+	born    int64
+	start   time.Time
+	rate    float64
+	// firstMs is what the clock shows at the start, in milliseconds.
+	firstMs  int64
 	token    uint64
 	leaseEnd int64
 	running  map[tbflow.TaskRef]*fakeRun
@@ -67,13 +69,13 @@
 
 func newFakeWorker(id string, now time.Time, rate float64) *fakeWorker {
 	return &fakeWorker{
-		id: id, born: now.UnixMilli(), start: now, rate: rate,
+		id: id, born: now.UnixMilli(), start: now, rate: rate, firstMs: 1000,
 		leaseEnd: math.MinInt64, running: map[tbflow.TaskRef]*fakeRun{}, blocked: map[tbflow.TaskRef]uint64{},
 	}
 }
 
 func (w *fakeWorker) clock(now time.Time) int64 {
-	return 1000 + int64(float64(now.Sub(w.start).Milliseconds())*w.rate)
+	return w.firstMs + int64(float64(now.Sub(w.start).Milliseconds())*w.rate)
 }
 
 func compareRefs(a, b tbflow.TaskRef) int { return strings.Compare(a.String(), b.String()) }
