Order the pace of a filling run that an earlier leader may have slowed

A new leader took each run for one at full pace. One that was slowed to a stand kept standing still: no order was sent while the full pace was wanted, and after 1.3 s the run was given up and its worker avoided for 3 s. The pace counts as unknown now until this leader has ordered one.

TestNewLeaderOrdersTheFullPaceOfARunThatAnEarlierOneSlowed failed before and passes; the tests of core pass.

--- a/core/tbassign/pace.go
+++ b/core/tbassign/pace.go
@@ -49,7 +49,7 @@
 		if stop || next < lowestPace {
 			next = 0
 		}
-		if next != r.Pace {
+		if next != r.Pace || r.PaceUnknown {
 			changes = append(changes, PaceChange{Ref: ref, Percent: next})
 		}
 	})
--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -85,8 +85,10 @@
 	ReadAt time.Time
 	// MovedAt is when the progress last changed, or when the run last was slowed by order.
 	MovedAt time.Time
-	// Pace is the ordered share of speed in percent.
-	Pace int
+	// Pace is the ordered share of speed in percent. An earlier leader may have ordered another
+	// one while PaceUnknown is true.
+	Pace        int
+	PaceUnknown bool
 
 	// born is the earlier life under which the state holds the run, or 0 for the present one.
 	born int64
@@ -152,6 +154,9 @@
 		s.EachRun(id, func(ref tbflow.TaskRef, t *tbflow.Task) {
 			age := max(0, time.Duration(s.NowMs-t.AssignedMs)*time.Millisecond-clockDisagreement)
 			run := &Run{Run: t.Run, Checkpoint: t.Checkpoint, Pace: FullPace, sentAt: now.Add(-age)}
+			if step := s.StepOf(ref); step != nil {
+				run.PaceUnknown = step.Fills
+			}
 			if t.Born < w.Born {
 				run.Phase, run.born = RunDoubtful, t.Born
 			}
--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -189,11 +189,14 @@
 // SetPace orders a share of speed for a run that is going on.
 func (f *Fleet) SetPace(worker string, ref tbflow.TaskRef, percent int) {
 	w := f.workers[worker]
-	if w == nil || w.runs[ref] == nil || w.runs[ref].Phase != RunGoingOn || w.runs[ref].Pace == percent {
+	if w == nil || w.runs[ref] == nil || w.runs[ref].Phase != RunGoingOn {
 		return
 	}
 	run := w.runs[ref]
-	run.Pace = percent
+	if run.Pace == percent && !run.PaceUnknown {
+		return
+	}
+	run.Pace, run.PaceUnknown = percent, false
 	f.call(Pace{Target: f.target(w), Ref: ref, Run: run.Run, Percent: percent, Timeout: f.terms.OrderTimeout})
 }
 
