--- a/core/tbfleet/look.go
+++ b/core/tbfleet/look.go
@@ -108,7 +108,7 @@
 		r.Born, r.Sequence, r.Draining, r.ClockMs = a.ActualBorn, 0, false, a.ClockMs
 		f.reborn(now, w, r)
 		w.known = true
-		w.clock.take(now, a.ClockMs)
+		w.clock.take(now, a.SentAt, a.ClockMs, f.terms.ClockRateBound)
 		f.tend(now, w)
 		return
 	case a.Verdict != Accepted:
@@ -116,6 +116,8 @@
 			f.out.Notes = append(f.out.Notes, Note{What: "worker does not answer", Worker: w.ID, Inputs: w.leaseInputs(now)})
 		}
 		w.Silent = true
+		// It may still be carried out, also after the answer to a later one.
+		w.passNaming()
 		w.retryAt = now.Add(f.terms.RetryPause)
 		f.tend(now, w)
 		return
@@ -135,10 +137,12 @@
 	}
 	w.HeardAt = now
 	w.retryAt = time.Time{}
-	w.clock.take(now, a.ClockMs)
+	w.clock.take(now, a.SentAt, a.ClockMs, f.terms.ClockRateBound)
 	f.takeRunning(now, w, a)
 	f.takeEnded(now, w, a)
-	f.settleMissing(w, a)
+	if !a.Partial {
+		f.settleMissing(w, a)
+	}
 	if w.hasDoubt() {
 		w.retryAt = now.Add(doubtPause)
 	}
@@ -170,7 +174,7 @@
 			}
 		}
 		run.settledAt = maxTime(run.settledAt, a.SentAt)
-		if r.Percent != run.Percent || run.MovedAt.IsZero() || run.Pace < FullPace {
+		if r.Percent != run.Percent || run.MovedAt.IsZero() || run.Pace < FullPace || run.PaceUnknown {
 			run.MovedAt = now
 		}
 		run.Percent, run.Reading, run.ReadAt = r.Percent, r.Reading, now
@@ -190,9 +194,11 @@
 // takeEnded proposes to record all newly listed ends.
 func (f *Fleet) takeEnded(now time.Time, w *Worker, a LookAnswered) {
 	through := w.seen
+	w.unnamed = 0
 	c := tbflow.NoteEnds{Worker: w.ID, Born: w.Born}
 	for _, e := range a.Ended {
 		if e.Number <= w.seen {
+			w.unnamed++
 			continue
 		}
 		through = max(through, e.Number)
@@ -224,8 +230,9 @@
 // settleMissing gives up runs that the worker neither runs nor lists as ended.
 //
 // That is final only for a run whose order can no longer take effect: one of an
-// earlier leader, which the token of this look fences off, or one that this worker
-// confirmed to have blocked before the look was sent.
+// earlier leader or life, which the token of this look fences off, or one that this worker
+// confirmed to have blocked before the look was sent. A look that was sent before a later
+// life was known to have the run may list what an earlier one had.
 func (f *Fleet) settleMissing(w *Worker, a LookAnswered) {
 	listed := make(map[tbflow.TaskRef]bool, len(a.Running))
 	for _, r := range a.Running {
@@ -238,8 +245,9 @@
 			continue
 		}
 		blocked := !run.stopAcked.IsZero() && a.SentAt.After(run.stopAcked)
+		earlier := run.born != 0 && a.SentAt.After(run.settledAt)
 		switch {
-		case run.Phase == RunUnknown, run.born != 0, blocked:
+		case run.Phase == RunUnknown, earlier, blocked:
 			f.neverRan(w, w.recordedBorn(run), ref, run)
 		case run.Phase == RunGoingOn && a.SentAt.After(run.settledAt):
 			run.stopWish = true
--- a/core/tbfleet/pace.go
+++ b/core/tbfleet/pace.go
@@ -19,11 +19,15 @@
 // SetPace orders a share of speed for a run that is going on.
 func (f *Fleet) SetPace(now time.Time, worker string, ref tbflow.TaskRef, percent int) {
 	w := f.workers[worker]
-	if w == nil || w.runs[ref] == nil || w.runs[ref].Phase != RunGoingOn || w.runs[ref].Pace == percent {
+	if w == nil || w.runs[ref] == nil || w.runs[ref].Phase != RunGoingOn {
 		return
 	}
-	w.runs[ref].Pace = percent
-	f.orderPace(now, w, ref, w.runs[ref])
+	run := w.runs[ref]
+	if run.Pace == percent && !run.PaceUnknown {
+		return
+	}
+	run.Pace, run.PaceUnknown = percent, false
+	f.orderPace(now, w, ref, run)
 }
 
 func (f *Fleet) orderPace(now time.Time, w *Worker, ref tbflow.TaskRef, run *Run) {
--- a/core/tbfleet/pace_test.go
+++ b/core/tbfleet/pace_test.go
@@ -89,14 +89,26 @@
 	qt.Check(t, p.pacesWithin(5*time.Second, tbfleet.Accepted), qt.HasLen, 0)
 }
 
-// The leader before slowed a filling task. The next one wants full speed, which it takes a run
-// to have until it orders another, so that the task stood still until it was given up.
-func TestNewLeaderOrdersThePaceOfFillingTasks(t *testing.T) {
-	p := newPacedWorker(t)
-	p.setPace(t, 0, tbfleet.Accepted)
-	p.fleet = tbfleet.New(terms, 2)
-	p.fleet.TakeOver(p.now, p.state)
-	p.heard()
-	p.pass(100*time.Millisecond, true)
-	qt.Check(t, p.pacesWithin(2*time.Second, tbfleet.Accepted), qt.DeepEquals, []int{tbfleet.FullPace})
+// An earlier leader has slowed a run. The next one knows no pace of it, and must order the full
+// pace too; otherwise the run stays slow, seems to stand still and is given up.
+func TestNewLeaderOrdersTheFullPaceOfARunThatAnEarlierOneSlowed(t *testing.T) {
+	o := newTakeOver()
+	step := &o.state.Jobs["j"].Steps[0]
+	step.Lasting, step.Fills = false, true
+	o.fleet = tbfleet.New(terms, 2)
+	o.fleet.TakeOver(o.now, o.state)
+	for _, l := range o.looks(0) {
+		a := o.worker.look(o.now, l)
+		a.SentAt = o.now
+		o.fleet.LookAnswered(o.now, a)
+	}
+	o.fleet.Take()
+	qt.Assert(t, o.fleet.Worker("w").Run(o.ref).Phase, qt.Equals, tbfleet.RunGoingOn)
+	o.fleet.SetPace(o.now, "w", o.ref, tbfleet.FullPace)
+	paced := false
+	for _, c := range o.fleet.Take().Calls {
+		_, ok := c.(tbfleet.Pace)
+		paced = paced || ok
+	}
+	qt.Check(t, paced, qt.IsTrue)
 }
--- a/core/tbfleet/worker_fake_test.go
+++ b/core/tbfleet/worker_fake_test.go
@@ -33,11 +33,13 @@
 
 // fakeWorker is one life of a worker that follows the workers' side of the protocol.
 type fakeWorker struct {
-	id       string
-	address  string
-	born     int64
-	start    time.Time
-	rate     float64
+	id      string
+	address string
+	born    int64
+	start   time.Time
+	rate    float64
+	// firstMs is what the clock shows at the start, in milliseconds.
+	firstMs  int64
 	token    uint64
 	leaseEnd int64
 	running  map[tbflow.TaskRef]*fakeRun
@@ -61,17 +63,19 @@
 	fakeMaxLease = 6000
 	// fakeRoom is the number of runs at which a worker refuses more.
 	fakeRoom = 12
+	// endsPerList is how many ends a list shows; the others follow once these are named as recorded.
+	endsPerList = 500
 )
 
 func newFakeWorker(id string, now time.Time, rate float64) *fakeWorker {
 	return &fakeWorker{
-		id: id, born: now.UnixMilli(), start: now, rate: rate,
+		id: id, born: now.UnixMilli(), start: now, rate: rate, firstMs: 1000,
 		leaseEnd: math.MinInt64, running: map[tbflow.TaskRef]*fakeRun{}, blocked: map[tbflow.TaskRef]uint64{},
 	}
 }
 
 func (w *fakeWorker) clock(now time.Time) int64 {
-	return 1000 + int64(float64(now.Sub(w.start).Milliseconds())*w.rate)
+	return w.firstMs + int64(float64(now.Sub(w.start).Milliseconds())*w.rate)
 }
 
 func compareRefs(a, b tbflow.TaskRef) int { return strings.Compare(a.String(), b.String()) }
@@ -214,7 +218,9 @@
 	for _, ref := range w.sorted() {
 		a.Running = append(a.Running, tbfleet.RunReport{Ref: ref, Run: w.running[ref].run, Percent: 50})
 	}
-	for _, e := range w.listed() {
+	listed := w.listed()
+	a.Partial = len(listed) >= endsPerList
+	for _, e := range listed[:min(len(listed), endsPerList)] {
 		a.Ended = append(a.Ended, tbfleet.EndReport{Number: e.number, Ref: e.ref, Run: e.run, Kind: e.kind})
 	}
 	return a
