Take no run for a stalled one while its pace is not confirmed

A run that was slowed to a stand was given up 1.3 s after full speed was ordered, and its worker avoided for 3 s, though a lost order is repeated only after a second. While a pace is open, a standstill is no sign of a stall.

TestRunThatAnEarlierLeaderSlowedIsNotTakenForAStall failed before and passes; the tests of core/tbfleet, tbcontrol and tbassign pass.

--- a/core/tbfleet/look.go
+++ b/core/tbfleet/look.go
@@ -174,7 +174,7 @@
 			}
 		}
 		run.settledAt = maxTime(run.settledAt, a.SentAt)
-		if r.Percent != run.Percent || run.MovedAt.IsZero() || run.Pace < FullPace || run.PaceUnknown {
+		if r.Percent != run.Percent || run.MovedAt.IsZero() || run.Pace < FullPace || run.PaceUnknown || run.paceOpen {
 			run.MovedAt = now
 		}
 		run.Percent, run.Reading, run.ReadAt = r.Percent, r.Reading, now
