Tell each change of a replica's role in the log

The log said only that a replica leads and no longer does, which fits a silent quorum, a rival with a higher term and an unfinished transfer alike.

Change: the replica hands out each change of its role with its cause, the replica whose message led to it, and how long it had handled nothing before; the control role logs them. No decision changes.

--- a/core/tbconsensus/election.go
+++ b/core/tbconsensus/election.go
@@ -7,24 +7,24 @@
 // A replica that was cut off for long would otherwise come back with a high
 // term and depose a leader that serves well.
 func (r *Replica) startPreVote(now time.Time) {
-	r.role = PreCandidate
+	r.setRole(PreCandidate, CauseNoLeader, 0)
 	r.leader = 0
 	r.votes = map[ReplicaID]bool{r.cfg.ID: true}
 	if r.votesWin() {
-		r.startElection(now)
+		r.startElection(now, CauseVotes, 0)
 		return
 	}
 	r.askForVotes(MsgPreVote, r.hard.Term+1)
 }
 
-func (r *Replica) startElection(now time.Time) {
-	r.role = Candidate
-	r.leader = 0
+func (r *Replica) startElection(now time.Time, cause Cause, by ReplicaID) {
 	r.setHardState(HardState{Term: r.hard.Term + 1, Vote: r.cfg.ID})
+	r.setRole(Candidate, cause, by)
+	r.leader = 0
 	r.votes = map[ReplicaID]bool{r.cfg.ID: true}
 	r.resetElectionTimer(now)
 	if r.votesWin() {
-		r.becomeLeader(now)
+		r.becomeLeader(now, 0)
 		return
 	}
 	r.askForVotes(MsgVote, r.hard.Term)
@@ -106,7 +106,7 @@
 	}
 	r.votes[m.From] = true
 	if r.votesWin() {
-		r.startElection(now)
+		r.startElection(now, CauseVotes, m.From)
 	}
 }
 
@@ -129,12 +129,12 @@
 	}
 	r.votes[m.From] = true
 	if r.votesWin() {
-		r.becomeLeader(now)
+		r.becomeLeader(now, m.From)
 	}
 }
 
-func (r *Replica) becomeLeader(now time.Time) {
-	r.role = Leader
+func (r *Replica) becomeLeader(now time.Time, by ReplicaID) {
+	r.setRole(Leader, CauseVotes, by)
 	r.leader = r.cfg.ID
 	r.transferring = false
 	r.confirmedAt = time.Time{}
@@ -179,7 +179,7 @@
 		return
 	}
 	r.transferring = true
-	r.startElection(now)
+	r.startElection(now, CauseAsked, m.From)
 	if r.role != Leader {
 		r.transferring = false
 	}
--- a/core/tbconsensus/replica.go
+++ b/core/tbconsensus/replica.go
@@ -51,7 +51,10 @@
 	fresh        bool
 	lostState    bool
 	incoming     incomingSnapshot
-	out          Output
+	// ranAt is the time of the last event, absence the time without one before it.
+	ranAt   time.Time
+	absence time.Duration
+	out     Output
 }
 
 // New returns a follower that continues from what restored holds.
@@ -76,10 +79,26 @@
 		// Before the restart it may have heard from a leader that still rules.
 		r.heardLeader = now
 	}
+	r.ranAt = now
 	r.resetElectionTimer(now)
 	return r
 }
 
+// runs notes that the replica handles an event at now.
+func (r *Replica) runs(now time.Time) {
+	r.absence = now.Sub(r.ranAt)
+	r.ranAt = now
+}
+
+func (r *Replica) setRole(to Role, cause Cause, by ReplicaID) {
+	if r.role != to {
+		r.out.Roles = append(r.out.Roles, RoleChange{
+			From: r.role, To: to, Term: r.hard.Term, Cause: cause, By: by, Absence: r.absence,
+		})
+	}
+	r.role = to
+}
+
 // Take returns what has to be done since the last call and clears it.
 func (r *Replica) Take() Output {
 	out := r.out
@@ -174,6 +193,7 @@
 
 // Persisted tells that entries up to index, the last of term, are synced on this disk.
 func (r *Replica) Persisted(now time.Time, term, index uint64) {
+	r.runs(now)
 	if index > r.log.lastIndex() || r.log.term(index) != term {
 		return
 	}
@@ -187,6 +207,7 @@
 
 // Tick lets time pass: it starts elections and sends heartbeats when they are due.
 func (r *Replica) Tick(now time.Time) {
+	r.runs(now)
 	if r.role == Leader {
 		r.tickLeader(now)
 		return
@@ -213,6 +234,7 @@
 
 // Step handles one message.
 func (r *Replica) Step(now time.Time, m Message) {
+	r.runs(now)
 	if m.To != r.cfg.ID || m.From == r.cfg.ID || r.ignoresAfterLoss(m) {
 		return
 	}
@@ -220,7 +242,7 @@
 		if m.Kind == MsgVote && !r.mayVote(now, m) {
 			return
 		}
-		r.becomeFollower(now, m.Term, 0)
+		r.becomeFollower(now, m.Term, CauseHigherTerm, m.From)
 	}
 	if m.Term < r.hard.Term {
 		r.answerStale(m)
@@ -286,12 +308,12 @@
 	}
 }
 
-func (r *Replica) becomeFollower(now time.Time, term uint64, leader ReplicaID) {
+func (r *Replica) becomeFollower(now time.Time, term uint64, cause Cause, by ReplicaID) {
 	if term != r.hard.Term {
 		r.setHardState(HardState{Term: term})
 	}
-	r.role = Follower
-	r.leader = leader
+	r.setRole(Follower, cause, by)
+	r.leader = 0
 	r.transferring = false
 	r.peers = nil
 	r.resetElectionTimer(now)
--- a/core/tbconsensus/replication.go
+++ b/core/tbconsensus/replication.go
@@ -27,8 +27,12 @@
 
 func (r *Replica) tickLeader(now time.Time) {
 	if !now.Before(r.electionAt) {
-		if r.transferring || !r.quorumActive(now) {
-			r.becomeFollower(now, r.hard.Term, 0)
+		switch {
+		case r.transferring:
+			r.becomeFollower(now, r.hard.Term, CauseTransfer, 0)
+			return
+		case !r.quorumActive(now):
+			r.becomeFollower(now, r.hard.Term, CauseQuorumSilent, 0)
 			return
 		}
 		r.electionAt = now.Add(r.cfg.ElectionTimeout)
@@ -192,9 +196,7 @@
 }
 
 func (r *Replica) followLeader(now time.Time, leader ReplicaID) {
-	if r.role != Follower {
-		r.role = Follower
-	}
+	r.setRole(Follower, CauseLeader, leader)
 	r.leader = leader
 	r.heardLeader = now
 	r.resetElectionTimer(now)
--- a/core/tbconsensus/types.go
+++ b/core/tbconsensus/types.go
@@ -116,6 +116,31 @@
 	return [...]string{"follower", "preCandidate", "candidate", "leader"}[r]
 }
 
+// Cause is why a replica changed its role.
+type Cause string
+
+// Causes of a change of role.
+const (
+	CauseNoLeader     Cause = "noLeaderHeard"
+	CauseVotes        Cause = "votes"
+	CauseAsked        Cause = "askedByTheLeader"
+	CauseLeader       Cause = "leaderHeard"
+	CauseHigherTerm   Cause = "higherTerm"
+	CauseQuorumSilent Cause = "quorumSilent"
+	CauseTransfer     Cause = "transferNotEnded"
+)
+
+// RoleChange is one change of a replica's role.
+type RoleChange struct {
+	From, To Role
+	Term     uint64
+	Cause    Cause
+	// By is the replica whose message led to the change, or 0.
+	By ReplicaID
+	// Absence is how long the replica handled nothing before the event that led to the change.
+	Absence time.Duration
+}
+
 // Config is fixed for the life of a Replica.
 type Config struct {
 	ID ReplicaID
@@ -155,6 +180,8 @@
 	SendAfterSave []Message
 	// Committed entries are applied in order.
 	Committed []Entry
+	// Roles are the changes of the replica's role, for the log.
+	Roles []RoleChange
 }
 
 // ChangeRefusal is why a membership change was not proposed; empty means that it was.
--- a/core/tbcontrol/control.go
+++ b/core/tbcontrol/control.go
@@ -175,6 +175,7 @@
 // collect turns the replica's output into effects and applies what is committed.
 func (c *Control) collect(now time.Time) {
 	out := c.replica.Take()
+	c.logRoles(out.Roles)
 	if len(out.Send) > 0 {
 		c.emit(SendMessages{Messages: out.Send})
 	}
--- a/core/tbcontrol/decisions.go
+++ b/core/tbcontrol/decisions.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"tamarackbarrow/core/tbconsensus"
 	"tamarackbarrow/core/tbfleet"
 	"tamarackbarrow/core/tbflow"
 	"tamarackbarrow/core/tbstate"
@@ -18,6 +19,17 @@
 	c.emit(Log{Message: n.What, Detail: n.Detail, Args: append(args, n.Inputs...)})
 }
 
+// logRoles logs what elections did to this replica.
+func (c *Control) logRoles(changes []tbconsensus.RoleChange) {
+	for _, r := range changes {
+		args := []any{"from", r.From.String(), "to", r.To.String(), "term", r.Term, "cause", string(r.Cause), "absenceMs", r.Absence.Milliseconds()}
+		if r.By != 0 {
+			args = append(args, "by", r.By)
+		}
+		c.emit(Log{Message: "role changes", Args: args})
+	}
+}
+
 // logBatch logs what a committed batch decided about jobs of steps.
 //
 // A replica does so from its election on: what a new leader commits of its predecessor's
