A new leader tells only the end of its log again

Cause: a replica told every decision that it applied while it led, as its predecessor may not have known of the last ones. After a restart that is the whole log.

Change: a replica tells the last 64 entries of what it applies at once on taking over, which covers the batches under way of its predecessors, and everything once it leads.

--- a/core/tbcontrol/control.go
+++ b/core/tbcontrol/control.go
@@ -222,8 +222,8 @@
 	}
 	c.appliedAt = now
 	c.appliedNow += n
-	for _, e := range c.committed[:n] {
-		c.apply(now, e)
+	for i, e := range c.committed[:n] {
+		c.apply(now, e, len(c.committed)-i <= toldBacklog)
 	}
 	c.committed = c.committed[n:]
 	if len(c.committed) == 0 {
@@ -231,7 +231,13 @@
 	}
 }
 
-func (c *Control) apply(now time.Time, e tbconsensus.Entry) {
+// toldBacklog is how many entries of its predecessors a new leader tells of in the log. One
+// that stops leaves a few that it has not told of, its batches under way, and older ones were
+// told: those of a whole log would crowd out the lines about the present.
+const toldBacklog = 64
+
+// apply changes the state; recent is false for an entry that an earlier leader told of.
+func (c *Control) apply(now time.Time, e tbconsensus.Entry, recent bool) {
 	if e.Kind != tbconsensus.EntryData {
 		return
 	}
@@ -240,7 +246,7 @@
 		panic(fmt.Sprintf("committed log entry %d cannot be read: %v", e.Index, err))
 	}
 	outcomes := c.state.Apply(e.Index, batch)
-	if c.replica.Role() == tbconsensus.Leader {
+	if recent && c.replica.Role() == tbconsensus.Leader {
 		c.logBatch(now, batch)
 	}
 	if c.lead != nil {
