Read on after a pause before stepping down or campaigning

Callers saw 503 for seconds on a busy machine while nothing had failed: all processes stood still for a moment, and the group changed its leader for it.

Cause: a replica looked at its timers before it read what had arrived meanwhile. The leader saw a silent quorum and stepped down, the followers saw a silent leader, campaigned and voted for each other.

Change: a replica that handled nothing for three heartbeat intervals was held up, and for two intervals more its timers prove nothing: a leader does not step down, a follower does not campaign or grant a vote. An idle replica looks at its timers every two intervals, so that it can tell. Safety does not depend on it: a vote may always be refused, a leader is confirmed by the send times of its heartbeats as before, and one that is held up again and again steps down two election timeouts after its last confirmed heartbeat, which is as long as orders may be held back (longestHold). The random schedules hold the group up for up to 2.5 s now; 2,000 of them pass.

--- a/core/tbconsensus/election.go
+++ b/core/tbconsensus/election.go
@@ -70,7 +70,7 @@
 }
 
 func (r *Replica) mayVote(now time.Time, m Message) bool {
-	leaderAlive := !r.heardLeader.IsZero() && now.Sub(r.heardLeader) < r.cfg.ElectionTimeout
+	leaderAlive := !r.heardLeader.IsZero() && now.Sub(r.heardLeader) < r.cfg.ElectionTimeout || r.waitsForLeader(now)
 	if r.role == Leader {
 		leaderAlive = r.Confirmed(now)
 	}
@@ -141,6 +141,7 @@
 	r.roundSent = map[uint64]time.Time{}
 	r.peers = map[ReplicaID]*peer{}
 	r.syncPeers(now)
+	r.electedAt = now
 	r.electionAt = now.Add(r.cfg.ElectionTimeout)
 	r.appendOwn(now, []Entry{{Kind: EntryNoop}})
 	r.sendHeartbeats(now)
--- a/core/tbconsensus/replica.go
+++ b/core/tbconsensus/replica.go
@@ -47,14 +47,13 @@
 	// roundSent keeps the send times of rounds that are not confirmed yet.
 	roundSent    map[uint64]time.Time
 	confirmedAt  time.Time
+	electedAt    time.Time
 	transferring bool
 	fresh        bool
 	lostState    bool
 	incoming     incomingSnapshot
-	// ranAt is the time of the last event, absence the time without one before it.
-	ranAt   time.Time
-	absence time.Duration
-	out     Output
+	held         holdUps
+	out          Output
 }
 
 // New returns a follower that continues from what restored holds.
@@ -79,21 +78,15 @@
 		// Before the restart it may have heard from a leader that still rules.
 		r.heardLeader = now
 	}
-	r.ranAt = now
+	r.held.ranAt = now
 	r.resetElectionTimer(now)
 	return r
 }
 
-// runs notes that the replica handles an event at now.
-func (r *Replica) runs(now time.Time) {
-	r.absence = now.Sub(r.ranAt)
-	r.ranAt = now
-}
-
 func (r *Replica) setRole(to Role, cause Cause, by ReplicaID) {
 	if r.role != to {
 		r.out.Roles = append(r.out.Roles, RoleChange{
-			From: r.role, To: to, Term: r.hard.Term, Cause: cause, By: by, Absence: r.absence,
+			From: r.role, To: to, Term: r.hard.Term, Cause: cause, By: by, Absence: r.held.absence,
 		})
 	}
 	r.role = to
@@ -215,6 +208,10 @@
 	if now.Before(r.electionAt) {
 		return
 	}
+	if r.waitsForLeader(now) {
+		r.electionAt = r.caughtUpAt()
+		return
+	}
 	r.resetElectionTimer(now)
 	if !r.isVoter(r.cfg.ID) {
 		// A learner whose leader is gone must know so: it may have been forgotten with it.
@@ -226,10 +223,14 @@
 
 // NextDue returns when Tick next has something to do.
 func (r *Replica) NextDue() time.Time {
-	if r.role == Leader && r.heartbeatAt.Before(r.electionAt) {
-		return r.heartbeatAt
+	due := r.electionAt
+	if r.role == Leader && r.heartbeatAt.Before(due) {
+		due = r.heartbeatAt
+	}
+	if look := r.held.ranAt.Add(lookBeats * r.cfg.HeartbeatInterval); look.Before(due) {
+		due = look
 	}
-	return r.electionAt
+	return due
 }
 
 // Step handles one message.
--- a/core/tbconsensus/replication.go
+++ b/core/tbconsensus/replication.go
@@ -31,11 +31,14 @@
 		case r.transferring:
 			r.becomeFollower(now, r.hard.Term, CauseTransfer, 0)
 			return
-		case !r.quorumActive(now):
+		case r.quorumActive(now):
+			r.electionAt = now.Add(r.cfg.ElectionTimeout)
+		case r.waitsForQuorum(now):
+			r.electionAt = r.caughtUpAt()
+		default:
 			r.becomeFollower(now, r.hard.Term, CauseQuorumSilent, 0)
 			return
 		}
-		r.electionAt = now.Add(r.cfg.ElectionTimeout)
 	}
 	if !now.Before(r.heartbeatAt) {
 		r.sendHeartbeats(now)
--- a/core/tbconsensus/schedule_test.go
+++ b/core/tbconsensus/schedule_test.go
@@ -21,6 +21,9 @@
 // maxStepMillis bounds how far one step of a schedule moves the clock.
 const maxStepMillis = 120
 
+// maxHoldUpMillis bounds how long no replica of a schedule gets a processor.
+const maxHoldUpMillis = 2500
+
 // testDisk holds what a replica has synced.
 type testDisk struct {
 	hard     HardState
@@ -209,6 +212,17 @@
 	}
 }
 
+// holdUp lets time pass in which no replica handles anything; then some look at their timers first.
+func (g *testGroup) holdUp() {
+	g.now = g.now.Add(time.Duration(g.rng.IntN(maxHoldUpMillis)) * time.Millisecond)
+	for _, n := range g.nodes {
+		if !n.down && g.rng.IntN(2) == 0 {
+			n.replica.Tick(g.now)
+			g.collect(n)
+		}
+	}
+}
+
 func (g *testGroup) propose(n *testNode) {
 	g.proposed++
 	data := binary.BigEndian.AppendUint64(nil, g.proposed)
@@ -271,7 +285,9 @@
 		g.deliverSome(action)
 	case action < 65:
 		g.syncAll(n)
-	case action < 77:
+	case action < 66:
+		g.holdUp()
+	case action < 78:
 		g.advance(time.Duration(1+g.rng.IntN(maxStepMillis)) * time.Millisecond)
 	case action < 90:
 		g.proposeAtLeaders()
