--- a/core/tbconsensus/replica.go
+++ b/core/tbconsensus/replica.go
@@ -47,10 +47,12 @@
 	// roundSent keeps the send times of rounds that are not confirmed yet.
 	roundSent    map[uint64]time.Time
 	confirmedAt  time.Time
+	electedAt    time.Time
 	transferring bool
 	fresh        bool
 	lostState    bool
 	incoming     incomingSnapshot
+	held         holdUps
 	out          Output
 }
 
@@ -76,10 +78,20 @@
 		// Before the restart it may have heard from a leader that still rules.
 		r.heardLeader = now
 	}
+	r.held.ranAt = now
 	r.resetElectionTimer(now)
 	return r
 }
 
+func (r *Replica) setRole(to Role, cause Cause, by ReplicaID) {
+	if r.role != to {
+		r.out.Roles = append(r.out.Roles, RoleChange{
+			From: r.role, To: to, Term: r.hard.Term, Cause: cause, By: by, Absence: r.held.absence,
+		})
+	}
+	r.role = to
+}
+
 // Take returns what has to be done since the last call and clears it.
 func (r *Replica) Take() Output {
 	out := r.out
@@ -174,6 +186,7 @@
 
 // Persisted tells that entries up to index, the last of term, are synced on this disk.
 func (r *Replica) Persisted(now time.Time, term, index uint64) {
+	r.runs(now)
 	if index > r.log.lastIndex() || r.log.term(index) != term {
 		return
 	}
@@ -187,6 +200,7 @@
 
 // Tick lets time pass: it starts elections and sends heartbeats when they are due.
 func (r *Replica) Tick(now time.Time) {
+	r.runs(now)
 	if r.role == Leader {
 		r.tickLeader(now)
 		return
@@ -194,6 +208,10 @@
 	if now.Before(r.electionAt) {
 		return
 	}
+	if r.waitsForLeader(now) {
+		r.electionAt = r.caughtUpAt()
+		return
+	}
 	r.resetElectionTimer(now)
 	if !r.isVoter(r.cfg.ID) {
 		// A learner whose leader is gone must know so: it may have been forgotten with it.
@@ -205,14 +223,19 @@
 
 // NextDue returns when Tick next has something to do.
 func (r *Replica) NextDue() time.Time {
-	if r.role == Leader && r.heartbeatAt.Before(r.electionAt) {
-		return r.heartbeatAt
+	due := r.electionAt
+	if r.role == Leader && r.heartbeatAt.Before(due) {
+		due = r.heartbeatAt
+	}
+	if look := r.held.ranAt.Add(lookBeats * r.cfg.HeartbeatInterval); look.Before(due) {
+		due = look
 	}
-	return r.electionAt
+	return due
 }
 
 // Step handles one message.
 func (r *Replica) Step(now time.Time, m Message) {
+	r.runs(now)
 	if m.To != r.cfg.ID || m.From == r.cfg.ID || r.ignoresAfterLoss(m) {
 		return
 	}
@@ -220,7 +243,7 @@
 		if m.Kind == MsgVote && !r.mayVote(now, m) {
 			return
 		}
-		r.becomeFollower(now, m.Term, 0)
+		r.becomeFollower(now, m.Term, CauseHigherTerm, m.From)
 	}
 	if m.Term < r.hard.Term {
 		r.answerStale(m)
@@ -286,12 +309,12 @@
 	}
 }
 
-func (r *Replica) becomeFollower(now time.Time, term uint64, leader ReplicaID) {
+func (r *Replica) becomeFollower(now time.Time, term uint64, cause Cause, by ReplicaID) {
 	if term != r.hard.Term {
 		r.setHardState(HardState{Term: term})
 	}
-	r.role = Follower
-	r.leader = leader
+	r.setRole(Follower, cause, by)
+	r.leader = 0
 	r.transferring = false
 	r.peers = nil
 	r.resetElectionTimer(now)
--- a/core/tbcontrol/control.go
+++ b/core/tbcontrol/control.go
@@ -15,6 +15,11 @@
 	replica    *tbconsensus.Replica
 	state      *tbstate.State
 	snapshotAt uint64
+	// committed are the entries that are not applied yet, since appliedAt; appliedNow counts
+	// those that were since the last end of a batch.
+	committed  []tbconsensus.Entry
+	appliedAt  time.Time
+	appliedNow int
 	waiting    []proposal
 	inFlight   []sentBatch
 	lead       *leadership
@@ -73,6 +78,9 @@
 	if len(c.reads) > 0 && c.reads[0].until.Before(due) {
 		due = c.reads[0].until
 	}
+	if len(c.committed) > 0 && c.appliedAt.Before(due) {
+		due = c.appliedAt
+	}
 	if c.lead == nil {
 		return due
 	}
@@ -130,6 +138,7 @@
 			c.onLook(now, ev.Answer)
 		}
 	case BatchEnded:
+		c.appliedNow = 0
 		c.planFlow(now)
 		c.takeFleetOutput(now)
 		c.proposeWaiting(now)
@@ -179,6 +188,7 @@
 // collect turns the replica's output into effects and applies what is committed.
 func (c *Control) collect(now time.Time) {
 	out := c.replica.Take()
+	c.logRoles(out.Roles)
 	if len(out.Send) > 0 {
 		c.emit(SendMessages{Messages: out.Send})
 	}
@@ -189,9 +199,8 @@
 	if out.InstallSnapshot != nil {
 		c.install(*out.InstallSnapshot)
 	}
-	for _, e := range out.Committed {
-		c.apply(now, e)
-	}
+	c.committed = append(c.committed, out.Committed...)
+	c.applyCommitted(now)
 	c.updateLeadership(now)
 	c.snapshotIfDue()
 }
@@ -203,9 +212,36 @@
 	}
 	c.state = state
 	c.snapshotAt = s.Meta.Index
+	c.committed = nil
 }
 
-func (c *Control) apply(now time.Time, e tbconsensus.Entry) {
+// applyCommitted applies a bounded number of entries; later batches of events apply the others.
+//
+// After a restart the first commit of a new term covers the whole log. A leader that applied
+// thousands of entries in one go would handle nothing for longer than an election timeout.
+func (c *Control) applyCommitted(now time.Time) {
+	n := len(c.committed)
+	if c.cfg.MaxApplied > 0 {
+		n = min(n, max(0, c.cfg.MaxApplied-c.appliedNow))
+	}
+	c.appliedAt = now
+	c.appliedNow += n
+	for i, e := range c.committed[:n] {
+		c.apply(now, e, len(c.committed)-i <= toldBacklog)
+	}
+	c.committed = c.committed[n:]
+	if len(c.committed) == 0 {
+		c.committed = nil
+	}
+}
+
+// toldBacklog is how many entries of its predecessors a new leader tells of in the log. One
+// that stops leaves a few that it has not told of, its batches under way, and older ones were
+// told: those of a whole log would crowd out the lines about the present.
+const toldBacklog = 64
+
+// apply changes the state; recent is false for an entry that an earlier leader told of.
+func (c *Control) apply(now time.Time, e tbconsensus.Entry, recent bool) {
 	if e.Kind != tbconsensus.EntryData {
 		return
 	}
@@ -214,7 +250,7 @@
 		panic(fmt.Sprintf("committed log entry %d cannot be read: %v", e.Index, err))
 	}
 	outcomes := c.state.Apply(e.Index, batch)
-	if c.replica.Role() == tbconsensus.Leader {
+	if recent && c.replica.Role() == tbconsensus.Leader {
 		c.logBatch(now, batch)
 	}
 	if c.lead != nil {
@@ -286,12 +322,12 @@
 
 // updateLeadership starts or ends the leader's duties as the replica's role asks.
 func (c *Control) updateLeadership(now time.Time) {
-	ready := c.replica.TermCommitted()
+	committed := c.replica.TermCommitted()
 	switch {
-	case ready && c.lead == nil:
+	case committed && len(c.committed) == 0 && c.lead == nil:
 		c.lead = newLeadership(c, now)
 		c.emit(Log{Message: "leads", Detail: fmt.Sprintf("term %d", c.replica.Term())})
-	case !ready && c.lead != nil && c.replica.Role() != tbconsensus.Leader:
+	case !committed && c.lead != nil && c.replica.Role() != tbconsensus.Leader:
 		c.lead = nil
 		c.emit(Log{Message: "no longer leads", Detail: fmt.Sprintf("term %d", c.replica.Term())})
 	}
