Workers beyond a bound report to other replicas than the leader

The answer to each report named the leader for the next one, so that the leader held 3,000 connections of workers; every process has 4,096 descriptors. From there on it could open none to a worker ("dial tcp: socket: too many open files"), which it took for workers that do not answer, and the reports that it did not accept went from replica to replica. Each replica opened one connection to the leader for each report that waited there: 1,542 new ones a second, 8,036 at once.

The leader now keeps about 768 reporters, chosen by a checksum of the worker's id, and names another replica to the rest; a replica that gets such a report passes it on and stays the one that is called. Up to 768 workers nothing changes.

--- a/core/tbcontrol/flow.go
+++ b/core/tbcontrol/flow.go
@@ -196,7 +196,7 @@
 		c.commitFlow(ev, tbflow.NoteDraining{Worker: r.ID, Born: r.Born})
 		return
 	}
-	c.answer(ev.Request, Answer{})
+	c.answer(ev.Request, Answer{Elsewhere: reportsElsewhere(r.ID, len(c.state.Flow.Workers))})
 }
 
 // answerAsked answers a question whose command was applied.
--- a/core/tbcontrol/question.go
+++ b/core/tbcontrol/question.go
@@ -97,6 +97,8 @@
 	Source []byte
 	// RetryAfter is when a refused caller should come back.
 	RetryAfter time.Duration
+	// Elsewhere is true for a worker that should report to a replica other than the leader.
+	Elsewhere bool
 }
 
 // QuestionArrived asks the leader a question.
--- a/io/tbdaemon/ask.go
+++ b/io/tbdaemon/ask.go
@@ -104,6 +104,15 @@
 	return d.directory.leader
 }
 
+// Replicas returns the peer addresses of all members of the control group.
+func (d *Daemon) Replicas() []string {
+	var addresses []string
+	for _, m := range d.members.Load().([]tbconsensus.Member) {
+		addresses = append(addresses, m.Address)
+	}
+	return addresses
+}
+
 // Ask asks the leader and goes on asking others until one answers or ctx ends.
 //
 // All questions may be asked twice. Once a try may have reached a leader without an
@@ -214,10 +223,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &pb.AskResponse{NotLeader: a.NotLeader, Leader: h.d.addressOf(a.Leader)}
-	for _, member := range h.d.members.Load().([]tbconsensus.Member) {
-		r.Replicas = append(r.Replicas, member.Address)
-	}
+	r := &pb.AskResponse{NotLeader: a.NotLeader, Leader: h.d.addressOf(a.Leader), Replicas: h.d.Replicas()}
 	if !a.NotLeader {
 		r.Answer = tbflowcodec.EncodeAnswer(a.Answer)
 	}
