Bound a new leader's looks at workers that it does not hear

With 3,000 workers a new leader sent 3,000 looks at once, each on a new connection. The replica had no time for its group, another one led a second later and began anew: 20 leaders in a minute, and leases lapsed.

At most 256 looks are now under way at workers that have not answered this leader yet, or not the last time; half of the places are kept for workers that run something. Only whether a look is sent has changed, which a lost message could do too; leases and their ends are computed as before.

--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -21,6 +21,10 @@
 	droppedAt map[string]time.Time
 	// failing names the worker on which each failing job failed first.
 	failing map[string]string
+	// unheard holds the looks under way at workers that are not heard; turn is the index of
+	// the worker that was looked at last for a place that became free.
+	unheard map[lookID]bool
+	turn    int
 	out     Output
 }
 
@@ -125,7 +129,7 @@
 
 // New returns a fleet for a leader whose token is higher than that of any earlier one.
 func New(terms Terms, token uint64) *Fleet {
-	return &Fleet{terms: terms, token: token, workers: map[string]*Worker{}, droppedAt: map[string]time.Time{}, failing: map[string]string{}}
+	return &Fleet{terms: terms, token: token, workers: map[string]*Worker{}, droppedAt: map[string]time.Time{}, failing: map[string]string{}, unheard: map[lookID]bool{}}
 }
 
 // clockDisagreement bounds how far the times of day of two leaders are apart, steps included.
--- a/core/tbfleet/look.go
+++ b/core/tbfleet/look.go
@@ -44,7 +44,7 @@
 
 // lookIfDue keeps one look open at each worker that runs something.
 func (f *Fleet) lookIfDue(now time.Time, w *Worker) {
-	if w.looking || now.Before(w.retryAt) || w.proposed > w.seen {
+	if w.looking || now.Before(w.retryAt) || w.proposed > w.seen || !f.takePlace(w) {
 		return
 	}
 	look := Look{Target: f.target(w), Timeout: f.terms.OrderTimeout}
@@ -90,6 +90,7 @@
 
 // LookAnswered takes the answer to Look.
 func (f *Fleet) LookAnswered(now time.Time, a LookAnswered) {
+	defer f.freePlace(now, a)
 	w := f.workers[a.Worker]
 	if w == nil || w.Born != a.Born {
 		return
