--- a/core/tbcontrol/question.go
+++ b/core/tbcontrol/question.go
@@ -107,7 +107,7 @@
 	Question Question
 }
 
-// StartAnswered, StopAnswered and LookAnswered bring a worker's answer to an order of a term.
+// StartAnswered, StopAnswered, PaceAnswered and LookAnswered bring a worker's answer to an order of a term.
 type (
 	StartAnswered struct {
 		Answer tbfleet.StartAnswered
@@ -117,6 +117,10 @@
 		Answer tbfleet.StopAnswered
 		Term   uint64
 	}
+	PaceAnswered struct {
+		Answer tbfleet.PaceAnswered
+		Term   uint64
+	}
 	LookAnswered struct {
 		Answer tbfleet.LookAnswered
 		Term   uint64
@@ -126,6 +130,7 @@
 func (QuestionArrived) isEvent() {}
 func (StartAnswered) isEvent()   {}
 func (StopAnswered) isEvent()    {}
+func (PaceAnswered) isEvent()    {}
 func (LookAnswered) isEvent()    {}
 
 // AnswerQuestion answers QuestionArrived.
--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -73,7 +73,9 @@
 	// out, and overtaken once an order got a higher serial than the look that is under way.
 	naming    bool
 	overtaken bool
-	runs      map[tbflow.TaskRef]*Run
+	// unnamed is the number of recorded ends that the last list still showed.
+	unnamed int
+	runs    map[tbflow.TaskRef]*Run
 }
 
 // Run is one run that a worker has, or may have.
@@ -87,8 +89,15 @@
 	ReadAt time.Time
 	// MovedAt is when the progress last changed, or when the run last was slowed by order.
 	MovedAt time.Time
-	// Pace is the ordered share of speed in percent.
-	Pace int
+	// Pace is the ordered share of speed in percent. An earlier leader may have ordered another
+	// one while PaceUnknown is true.
+	Pace        int
+	PaceUnknown bool
+
+	// pacedAt is when the pace was last ordered, and paceOpen true until that is confirmed.
+	pacedAt   time.Time
+	paceOpen  bool
+	latePaces []latePace
 
 	// born is the earlier life under which the state holds the run, or 0 for the present one.
 	born int64
@@ -154,6 +163,9 @@
 		s.EachRun(id, func(ref tbflow.TaskRef, t *tbflow.Task) {
 			age := max(0, time.Duration(s.NowMs-t.AssignedMs)*time.Millisecond-clockDisagreement)
 			run := &Run{Run: t.Run, Checkpoint: t.Checkpoint, Pace: FullPace, sentAt: now.Add(-age)}
+			if step := s.StepOf(ref); step != nil {
+				run.PaceUnknown = step.Fills
+			}
 			if t.Born < w.Born {
 				run.Phase, run.born = RunDoubtful, t.Born
 			}
@@ -238,10 +250,14 @@
 	}
 }
 
+// maxUnnamed is how many recorded ends a worker may list before it gets no new tasks: while a
+// start is open they are not named, and a list shows only so many.
+const maxUnnamed = 100
+
 // Usable reports whether the worker may get a new task now.
 func (f *Fleet) Usable(w *Worker, now time.Time) bool {
 	return w.known && !w.Draining && !w.Silent && !w.fence && w.clock.known() &&
-		now.Sub(w.HeardAt) < f.terms.HeartbeatSilence && !now.Before(w.AvoidUntil)
+		w.unnamed < maxUnnamed && now.Sub(w.HeardAt) < f.terms.HeartbeatSilence && !now.Before(w.AvoidUntil)
 }
 
 // EachRun calls visit for each run of the worker in no particular order.
@@ -276,7 +292,7 @@
 	w.Draining = r.Draining || draining
 	w.known = true
 	w.HeardAt = now
-	w.clock.take(now, r.ClockMs)
+	w.clock.take(now, time.Time{}, r.ClockMs, f.terms.ClockRateBound)
 	f.tend(now, w)
 	return true
 }
--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -85,12 +85,12 @@
 	}
 	laterLife := w.clock.behind(run.sentAt, a.ClockMs, f.terms.ClockRateBound)
 	if !laterLife {
-		w.clock.take(now, a.ClockMs)
+		w.clock.take(now, run.sentAt, a.ClockMs, f.terms.ClockRateBound)
 	}
 	switch a.Verdict {
 	case Accepted:
 		if laterLife && !run.listed {
-			f.startedByLaterLife(w, a, run)
+			f.startedByLaterLife(now, w, a, run)
 			break
 		}
 		w.HeardAt = now
@@ -115,12 +115,12 @@
 //
 // An order to the life before names a lease end that this life's clock does not reach for long;
 // carried out late, it lets the run outlast the lease that the leader reckons with.
-func (f *Fleet) startedByLaterLife(w *Worker, a StartAnswered, run *Run) {
+func (f *Fleet) startedByLaterLife(now time.Time, w *Worker, a StartAnswered, run *Run) {
 	f.out.Notes = append(f.out.Notes, Note{
 		What: "start accepted by a later life", Worker: w.ID, Ref: a.Ref, Run: a.Run,
 		Inputs: []any{"clockMs", a.ClockMs, "knownClockMs", w.clock.ms},
 	})
-	run.Phase, run.born, run.stopWish = RunDoubtful, w.Born, true
+	run.Phase, run.born, run.settledAt, run.stopWish = RunDoubtful, w.Born, now, true
 }
 
 func (f *Fleet) startRefused(now time.Time, w *Worker, a StartAnswered, run *Run) {
@@ -186,17 +186,6 @@
 	f.Stop(now, worker, ref)
 }
 
-// SetPace orders a share of speed for a run that is going on.
-func (f *Fleet) SetPace(worker string, ref tbflow.TaskRef, percent int) {
-	w := f.workers[worker]
-	if w == nil || w.runs[ref] == nil || w.runs[ref].Phase != RunGoingOn || w.runs[ref].Pace == percent {
-		return
-	}
-	run := w.runs[ref]
-	run.Pace = percent
-	f.call(Pace{Target: f.target(w), Ref: ref, Run: run.Run, Percent: percent, Timeout: f.terms.OrderTimeout})
-}
-
 // StopAnswered takes the answer to Stop.
 func (f *Fleet) StopAnswered(now time.Time, a StopAnswered) {
 	w := f.workers[a.Worker]
