Followers pass the reports of workers on several at a time

With 3,000 workers 2,700 reports a second reach the leader, those that its followers pass on one question, one connection and one wake-up each. Up to 64 connections of a follower waited at once.

Reports that say that the worker drains still go by themselves, since they have to be committed, and reports to the leader itself are taken at once.

--- /dev/null
+++ b/core/tbcontrol/batch_test.go
@@ -0,0 +1,31 @@
+package tbcontrol_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"tamarackbarrow/core/tbcontrol"
+	"tamarackbarrow/core/tbfleet"
+)
+
+// Of four reports in one question one is repeated, one names an unknown class and one says
+// that its worker drains, which would have to be committed before it is acknowledged.
+func TestEachReportOfAQuestionHasItsAnswer(t *testing.T) {
+	g := runningJob(t)
+	report := func(id, class string, sequence uint64) tbfleet.Report {
+		return tbfleet.Report{ID: id, Address: id + ":1", Born: 1, Class: class, ClockMs: 20, Sequence: sequence}
+	}
+	draining := report("v", "c", 1)
+	draining.Draining = true
+	a := g.ask(tbcontrol.WorkersReported{Reports: []tbfleet.Report{
+		report("u", "c", 1), report("u", "c", 1), report("x", "nobody", 1), draining,
+	}})
+	qt.Check(t, a.Answer.Reports, qt.DeepEquals, []tbcontrol.ReportAnswer{
+		{Code: tbcontrol.Done}, {Code: tbcontrol.Outdated}, {Code: tbcontrol.Outdated}, {Code: tbcontrol.NotReady},
+	})
+	workers := g.leader().control.State().Flow.Workers
+	qt.Check(t, workers["u"], qt.IsNotNil)
+	qt.Check(t, workers["x"], qt.IsNil)
+	qt.Check(t, workers["v"] == nil || !workers["v"].Draining, qt.IsTrue)
+}
--- a/core/tbcontrol/flow.go
+++ b/core/tbcontrol/flow.go
@@ -79,6 +79,8 @@
 		c.answer(ev.Request, c.configAnswer())
 	case WorkerReported:
 		c.onWorkerReported(now, ev, q.Report)
+	case WorkersReported:
+		c.onWorkersReported(now, ev.Request, q.Reports)
 	case WorkerLeft:
 		c.lead.flow.fleet.Left(now, q.ID)
 		c.answer(ev.Request, Answer{})
@@ -165,40 +167,6 @@
 	return Answer{Source: c.state.Flow.Config.Source}
 }
 
-// onWorkerReported takes a report; that a worker drains is committed before it is acknowledged.
-//
-// A report of a class that no configuration in force has names no worker of ours, and says
-// nothing about the one whose id or address it uses.
-func (c *Control) onWorkerReported(now time.Time, ev QuestionArrived, r tbfleet.Report) {
-	known := c.state.Flow.Workers[r.ID]
-	ours := known != nil && known.Born == r.Born && known.Class == r.Class
-	if cfg := &c.state.Flow.Config; cfg.Version > 0 && !cfg.HasClass(r.Class) && !ours {
-		c.emit(Log{Message: "report of an unknown class", Args: []any{
-			"worker", r.ID, "class", r.Class, "address", r.Address, "version", cfg.Version,
-		}})
-		c.answer(ev.Request, Answer{Code: Outdated})
-		return
-	}
-	// A report that was already taken may not be recorded yet.
-	unrecorded := r.Draining && (known == nil || known.Born < r.Born || known.Born == r.Born && !known.Draining)
-	heard := c.lead.flow.fleet.Heard(now, r)
-	if !heard && !unrecorded {
-		c.answer(ev.Request, Answer{Code: Outdated})
-		return
-	}
-	if heard && (known == nil || known.Born < r.Born || known.Address != r.Address || known.Capacity != r.Capacity) {
-		c.proposeFlow(tbflow.NoteWorker{
-			Worker: r.ID, Born: r.Born, Address: r.Address, Class: r.Class, DataCentre: r.DataCentre,
-			Rack: r.Rack, Labels: r.Labels, Capacity: r.Capacity,
-		})
-	}
-	if unrecorded {
-		c.commitFlow(ev, tbflow.NoteDraining{Worker: r.ID, Born: r.Born})
-		return
-	}
-	c.answer(ev.Request, Answer{Elsewhere: reportsElsewhere(r.ID, len(c.state.Flow.Workers))})
-}
-
 // answerAsked answers a question whose command was applied.
 func (c *Control) answerAsked(request uint64, outcome tbstate.Outcome) {
 	delete(c.asked, request)
--- a/core/tbcontrol/question.go
+++ b/core/tbcontrol/question.go
@@ -39,6 +39,9 @@
 // WorkerReported carries what a worker says of itself.
 type WorkerReported struct{ Report tbfleet.Report }
 
+// WorkersReported carries what several workers say of themselves, none of which drains.
+type WorkersReported struct{ Reports []tbfleet.Report }
+
 // WorkerLeft tells that a drained worker has ended.
 type WorkerLeft struct{ ID string }
 
@@ -48,15 +51,16 @@
 	Address string
 }
 
-func (SubmitAsked) isQuestion()    {}
-func (CancelAsked) isQuestion()    {}
-func (JobAsked) isQuestion()       {}
-func (QueueAsked) isQuestion()     {}
-func (ConfigPut) isQuestion()      {}
-func (ConfigAsked) isQuestion()    {}
-func (WorkerReported) isQuestion() {}
-func (WorkerLeft) isQuestion()     {}
-func (JoinAsked) isQuestion()      {}
+func (SubmitAsked) isQuestion()     {}
+func (CancelAsked) isQuestion()     {}
+func (JobAsked) isQuestion()        {}
+func (QueueAsked) isQuestion()      {}
+func (ConfigPut) isQuestion()       {}
+func (ConfigAsked) isQuestion()     {}
+func (WorkerReported) isQuestion()  {}
+func (WorkersReported) isQuestion() {}
+func (WorkerLeft) isQuestion()      {}
+func (JoinAsked) isQuestion()       {}
 
 // Code is the outcome of a question.
 type Code uint8
@@ -99,6 +103,14 @@
 	RetryAfter time.Duration
 	// Elsewhere is true for a worker that should report to a replica other than the leader.
 	Elsewhere bool
+	// Reports answers each report of WorkersReported.
+	Reports []ReportAnswer
+}
+
+// ReportAnswer answers one report of a worker.
+type ReportAnswer struct {
+	Code      Code
+	Elsewhere bool
 }
 
 // QuestionArrived asks the leader a question.
--- a/io/tbflowcodec/codec.go
+++ b/io/tbflowcodec/codec.go
@@ -21,7 +21,7 @@
 	questions = []any{
 		tbcontrol.SubmitAsked{}, tbcontrol.CancelAsked{}, tbcontrol.JobAsked{}, tbcontrol.QueueAsked{},
 		tbcontrol.ConfigPut{}, tbcontrol.ConfigAsked{}, tbcontrol.WorkerReported{}, tbcontrol.WorkerLeft{},
-		tbcontrol.JoinAsked{},
+		tbcontrol.JoinAsked{}, tbcontrol.WorkersReported{},
 	}
 )
 
