The demonstration does not depend on how busy its machine is

Cause: jobs and drains were sent once, though the answer tells callers to send them again. And worker-1 was drained only after all calls, when the jobs that it should hand over had ended.

The promises and bounds are the same.

--- a/io/tblaunch/cluster.go
+++ b/io/tblaunch/cluster.go
@@ -298,6 +298,21 @@
 	})
 }
 
+// UntilAvailable makes a change again while no leader answers, which is safe for all changes.
+func UntilAvailable[T any](ctx context.Context, change func() (T, error)) (T, error) {
+	var answer T
+	var final error
+	late := retry(ctx, func() error {
+		a, err := change()
+		if connect.CodeOf(err) == connect.CodeUnavailable {
+			return err
+		}
+		answer, final = a, err
+		return nil
+	})
+	return answer, errors.Join(final, late)
+}
+
 const retryPause = 50 * time.Millisecond
 
 func retry(ctx context.Context, step func() error) error {
