Find the workers at an address without a look over all of them

Each report of a worker was compared with the addresses of all workers, 2,700 reports a second with 3,000 addresses each: most of what the leader spent at that size, also while nothing ran. The fleet now keeps the workers by address, in the order of their ids, in which they were looked over before.

TestReportsReplaceTheWorkersAtTheirAddress compares with a look over all workers, on 50 random sequences of reports, departures and silence.

--- /dev/null
+++ b/core/tbfleet/addresses_test.go
@@ -0,0 +1,66 @@
+package tbfleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// atAddress returns the known workers at an address but one, by a look over all workers.
+func atAddress(f *Fleet, address, but string) (ids []string) {
+	for _, w := range f.ordered {
+		if w.ID != but && w.known && w.Address == address {
+			ids = append(ids, w.ID)
+		}
+	}
+	return ids
+}
+
+// Few workers report from few addresses, restart, leave and are forgotten, at random. A
+// report replaces the workers that a look over all of them finds at its address.
+func TestReportsReplaceTheWorkersAtTheirAddress(t *testing.T) {
+	for seed := range uint64(50) {
+		rnd := rand.New(rand.NewPCG(seed, 1))
+		f := New(Terms{HeartbeatSilence: time.Second, LongestDelay: 3 * time.Second}, 1)
+		now := time.UnixMilli(1_700_000_000_000)
+		replaced := 0
+		for i := range 2000 {
+			now = now.Add(time.Duration(rnd.IntN(800)) * time.Millisecond)
+			r := Report{
+				ID: fmt.Sprint("w", rnd.IntN(8)), Address: fmt.Sprint("a", rnd.IntN(6)),
+				Born: int64(1 + i/(1+rnd.IntN(40))), Sequence: uint64(i), Draining: rnd.IntN(4) == 0,
+			}
+			others := atAddress(f, r.Address, r.ID)
+			if f.Heard(now, r) {
+				for _, id := range others {
+					replaced++
+					qt.Assert(t, f.Worker(id), qt.IsNil, qt.Commentf("seed %d, step %d", seed, i))
+				}
+			}
+			switch rnd.IntN(10) {
+			case 0:
+				f.Left(now, r.ID)
+			case 1:
+				f.forgetSilent(now)
+			}
+			listed := 0
+			for address, workers := range f.addressed {
+				for _, w := range workers {
+					listed++
+					qt.Assert(t, w.Address, qt.Equals, address)
+					qt.Assert(t, f.workers[w.ID], qt.Equals, w)
+				}
+			}
+			for _, w := range f.ordered {
+				if w.Address != "" {
+					listed--
+				}
+			}
+			qt.Assert(t, listed, qt.Equals, 0)
+		}
+		qt.Check(t, replaced > 100, qt.IsTrue, qt.Commentf("seed %d: %d replaced", seed, replaced))
+	}
+}
--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"tamarackbarrow/core/tbflow"
@@ -15,6 +14,8 @@
 	workers map[string]*Worker
 	// ordered holds the same workers in order of their ids.
 	ordered []*Worker
+	// addressed holds the workers by their address, in order of their ids; some are not known.
+	addressed map[string][]*Worker
 	// serial is at least the highest serial of the workers that were forgotten.
 	serial uint64
 	// droppedAt is when a worker was dropped whose orders may still be under way.
@@ -138,7 +139,7 @@
 
 // New returns a fleet for a leader whose token is higher than that of any earlier one.
 func New(terms Terms, token uint64) *Fleet {
-	return &Fleet{terms: terms, token: token, workers: map[string]*Worker{}, droppedAt: map[string]time.Time{}, failing: map[string]string{}, unheard: map[lookID]bool{}}
+	return &Fleet{terms: terms, token: token, workers: map[string]*Worker{}, addressed: map[string][]*Worker{}, droppedAt: map[string]time.Time{}, failing: map[string]string{}, unheard: map[lookID]bool{}}
 }
 
 // clockDisagreement bounds how far the times of day of two leaders are apart, steps included.
@@ -150,7 +151,8 @@
 		w := f.worker(id)
 		w.Born, w.seen, w.proposed, w.Draining = r.Born, r.Seen, r.Seen, r.Draining
 		if r.Address != "" {
-			w.Address, w.Class, w.DataCentre, w.Rack = r.Address, r.Class, r.DataCentre, r.Rack
+			f.readdress(w, r.Address)
+			w.Class, w.DataCentre, w.Rack = r.Class, r.DataCentre, r.Rack
 			w.Labels, w.Capacity = r.Labels, r.Capacity
 			// It gets tasks once it has answered a look or sent a report.
 			w.known, w.fence = true, true
@@ -193,7 +195,7 @@
 
 // find returns where a worker is, or would be, in the order of ids.
 func (f *Fleet) find(id string) (int, bool) {
-	return slices.BinarySearchFunc(f.ordered, id, func(w *Worker, id string) int { return strings.Compare(w.ID, id) })
+	return findID(f.ordered, id)
 }
 
 // drop forgets a worker; a life that comes back under its id counts as a later one.
@@ -202,6 +204,7 @@
 		f.ordered = slices.Delete(f.ordered, at, at+1)
 	}
 	delete(f.workers, w.ID)
+	f.readdress(w, "")
 	f.droppedAt[w.ID] = now
 	f.serial = max(f.serial, w.serial+1)
 }
@@ -276,14 +279,15 @@
 	if r.Born < w.Born || w.known && r.Born == w.Born && r.Sequence <= w.Sequence {
 		return false
 	}
-	for _, other := range f.ordered {
-		if other != w && other.known && other.Address == r.Address {
+	for _, other := range f.addressed[r.Address] {
+		if other != w && other.known {
 			if other.Born > r.Born {
 				return false
 			}
 			f.replace(now, other)
 		}
 	}
+	f.readdress(w, r.Address)
 	if w.Born != 0 && r.Born > w.Born {
 		f.reborn(now, w, r)
 	}
