A leader whose quorum is silent names no leader

A front that still reaches a leader which is cut off from its group was told to ask that leader again, until it stepped down up to an election timeout later, while the other half may have had a new leader.

Change: one decision, leaderToAsk, for all refusals. A leader that is not confirmed names none, so that fronts ask the other replicas; one that was elected and does not lead yet names itself as before.

Evidence: TestLeaderWhoseQuorumIsSilentNamesNoLeader failed before; the other new test passes before and after.

--- a/core/tbcontrol/control.go
+++ b/core/tbcontrol/control.go
@@ -72,6 +72,17 @@
 	return c.lead != nil && !c.failed && c.replica.Confirmed(now)
 }
 
+// leaderToAsk names the replica that should be asked instead of this one, or 0.
+//
+// A leader whose quorum is silent names none: another one may lead already. One that was just
+// elected and does not lead yet names itself.
+func (c *Control) leaderToAsk(now time.Time) tbconsensus.ReplicaID {
+	if c.replica.Role() == tbconsensus.Leader && c.lead != nil && !c.replica.Confirmed(now) {
+		return 0
+	}
+	return c.replica.LeaderID()
+}
+
 // NextDue returns when Ticked next has something to do.
 func (c *Control) NextDue() time.Time {
 	due := c.replica.NextDue()
@@ -286,7 +297,7 @@
 
 func (c *Control) onProposal(now time.Time, ev ProposalArrived) {
 	if !c.Leads(now) || len(c.waiting) >= c.cfg.MaxWaiting {
-		c.emit(AnswerProposal{Request: ev.Request, NotLeader: true, Leader: c.replica.LeaderID()})
+		c.emit(AnswerProposal{Request: ev.Request, NotLeader: true, Leader: c.leaderToAsk(now)})
 		return
 	}
 	c.waiting = append(c.waiting, proposal{request: ev.Request, commands: ev.Commands})
@@ -354,7 +365,7 @@
 	answer := AnswerMemberChange{Request: ev.Request}
 	if !c.Leads(now) {
 		answer.NotLeader = true
-		answer.Leader = c.replica.LeaderID()
+		answer.Leader = c.leaderToAsk(now)
 		c.emit(answer)
 		return
 	}
--- a/core/tbcontrol/deposed_test.go
+++ b/core/tbcontrol/deposed_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"tamarackbarrow/core/tbconsensus"
 	"tamarackbarrow/core/tbcontrol"
 	"tamarackbarrow/core/tbfleet"
 	"tamarackbarrow/core/tbflow"
@@ -81,3 +82,38 @@
 	g.run(200 * time.Millisecond)
 	qt.Check(t, run(), qt.Equals, before+1)
 }
+
+// A leader that is cut off from its quorum named itself until it stepped down, so that fronts
+// which still reached it asked it again and again while the other half had a new leader.
+func TestLeaderWhoseQuorumIsSilentNamesNoLeader(t *testing.T) {
+	g := runningJob(t)
+	old := g.leader()
+	old.deaf = true
+	for old.control.Leads(g.now) {
+		g.run(10 * time.Millisecond)
+	}
+	qt.Assert(t, old.control.Replica().Role(), qt.Equals, tbconsensus.Leader)
+	g.next++
+	g.step(old, tbcontrol.QuestionArrived{Request: g.next, Question: tbcontrol.ConfigAsked{}})
+	qt.Check(t, old.answers[g.next].NotLeader, qt.IsTrue)
+	qt.Check(t, old.answers[g.next].Leader, qt.Equals, tbconsensus.ReplicaID(0))
+}
+
+// A replica that was elected and does not lead yet names itself: callers wait for it.
+func TestElectedReplicaThatDoesNotLeadYetNamesItself(t *testing.T) {
+	g := restartedGroup(t, 2000)
+	g.applyCost = 250 * time.Microsecond
+	var elected *replica
+	for elected == nil {
+		g.run(10 * time.Millisecond)
+		for _, r := range g.replicas {
+			if r.control.Replica().Role() == tbconsensus.Leader {
+				elected = r
+			}
+		}
+	}
+	qt.Assert(t, elected.control.Leads(g.now), qt.IsFalse)
+	g.step(elected, tbcontrol.QuestionArrived{Request: 7, Question: tbcontrol.ConfigAsked{}})
+	qt.Check(t, elected.answers[7].NotLeader, qt.IsTrue)
+	qt.Check(t, elected.answers[7].Leader, qt.Equals, elected.id)
+}
--- a/core/tbcontrol/flow.go
+++ b/core/tbcontrol/flow.go
@@ -61,7 +61,7 @@
 // onQuestion answers from the state, or proposes what has to be committed first.
 func (c *Control) onQuestion(now time.Time, ev QuestionArrived) {
 	if !c.Leads(now) {
-		c.emit(AnswerQuestion{Request: ev.Request, NotLeader: true, Leader: c.replica.LeaderID()})
+		c.emit(AnswerQuestion{Request: ev.Request, NotLeader: true, Leader: c.leaderToAsk(now)})
 		return
 	}
 	switch q := ev.Question.(type) {
--- a/core/tbcontrol/reads.go
+++ b/core/tbcontrol/reads.go
@@ -53,7 +53,7 @@
 	leads := c.Leads(now)
 	c.reads = slices.DeleteFunc(c.reads, func(r heldRead) bool {
 		if !leads {
-			c.emit(AnswerQuestion{Request: r.request, NotLeader: true, Leader: c.replica.LeaderID()})
+			c.emit(AnswerQuestion{Request: r.request, NotLeader: true, Leader: c.leaderToAsk(now)})
 			return true
 		}
 		if j := c.state.Flow.Find(r.question.ID, r.question.Host, r.question.Path); j != nil && mayEnd(j) && now.Before(r.until) {
--- a/core/tbcontrol/views.go
+++ b/core/tbcontrol/views.go
@@ -13,7 +13,7 @@
 // The lease and the newest state go out in one answer, so that an entry with a
 // valid lease never works with a bundle or a view older than its lease.
 func (c *Control) onSync(now time.Time, ev SyncArrived) {
-	answer := AnswerSync{Request: ev.Request, Leader: c.replica.LeaderID()}
+	answer := AnswerSync{Request: ev.Request, Leader: c.leaderToAsk(now)}
 	if !c.Leads(now) {
 		answer.NotLeader = true
 		c.emit(answer)
@@ -131,7 +131,7 @@
 }
 
 func (c *Control) onJobsQueried(now time.Time, ev JobsQueried) {
-	answer := AnswerJobs{Request: ev.Request, Leader: c.replica.LeaderID()}
+	answer := AnswerJobs{Request: ev.Request, Leader: c.leaderToAsk(now)}
 	if !c.Leads(now) {
 		answer.NotLeader = true
 		c.emit(answer)
@@ -151,7 +151,7 @@
 }
 
 func (c *Control) onStatusQueried(now time.Time, ev StatusQueried) {
-	answer := AnswerStatus{Request: ev.Request, Leader: c.replica.LeaderID()}
+	answer := AnswerStatus{Request: ev.Request, Leader: c.leaderToAsk(now)}
 	if !c.Leads(now) {
 		answer.NotLeader = true
 		c.emit(answer)
