--- a/core/tbassign/place.go
+++ b/core/tbassign/place.go
@@ -6,6 +6,7 @@
 
 	"tamarackbarrow/core/tbfleet"
 	"tamarackbarrow/core/tbflow"
+	"tamarackbarrow/core/tbresource"
 )
 
 // Load pattern: lasting tasks reserve most of the processors and use about half of
@@ -175,7 +176,7 @@
 	c.scores[r.index], c.kept[r.index] = noRoom, false
 	if c.pools.allowed(r, c.step) {
 		c.scores[r.index] = c.pools.score(r, c.step)
-		c.kept[r.index] = c.step.step.Lasting && !r.keepsReserve(c.step.step)
+		c.kept[r.index] = c.step.step.Lasting && !keepsReserve(r.free, c.step.step, r.worker)
 	}
 }
 
@@ -241,9 +242,9 @@
 const reserveHoldMs = 1500
 
 // keepsReserve reports whether a lasting task leaves room for short ones, or fits twice.
-func (r *room) keepsReserve(step *tbflow.Step) bool {
-	left := r.free.MilliProcessors - step.Need.MilliProcessors
-	return left >= step.Need.MilliProcessors || share(left, r.worker) >= shortReserve
+func keepsReserve(free tbresource.Amount, step *tbflow.Step, w *tbfleet.Worker) bool {
+	left := free.MilliProcessors - step.Need.MilliProcessors
+	return left >= step.Need.MilliProcessors || share(left, w) >= shortReserve
 }
 
 // farPenalty is the score lost on a rack without the data; it outweighs any difference in room.
