--- a/core/tbassign/groups.go
+++ b/core/tbassign/groups.go
@@ -382,12 +382,8 @@
 
 func (g *groups) carryOut(ch change) {
 	ch.class.apply(ch)
-	g.keep(ch)
-}
-
-// keep keeps the rooms of a change, and the other tasks of the same steps until these are back at work.
-func (g *groups) keep(ch change) {
 	ch.from.busy, ch.to.busy = true, true
+	// The other tasks of the same steps stay until these are back at work.
 	for _, c := range g.class {
 		for _, r := range c.rooms {
 			for _, t := range r.tasks {
