Count again only what changed on a worker

The state counts the runs that come and go on each worker, and plans keep what they counted while that number stays.

--- a/core/tbassign/images.go
+++ b/core/tbassign/images.go
@@ -6,8 +6,10 @@
 type imageTable struct {
 	learner    *Learner
 	colocation *colocation
-	lasting    numbering
-	filling    numbering
+	// lasting numbers the images of all plans of a leader, since what it keeps from one plan
+	// to the next has these numbers.
+	lasting *numbering
+	filling numbering
 	// learned is how many filling images the learner knows; they have the lowest numbers.
 	learned int
 	// slopes are by lasting and then by filling image, and harms by lasting image.
@@ -35,7 +37,7 @@
 func newImageTable(l *Learner) *imageTable {
 	t := &imageTable{
 		learner: l, colocation: newColocation(l),
-		lasting: numbering{numbers: map[string]int{}}, filling: numbering{numbers: map[string]int{}},
+		lasting: &l.mixes.images, filling: numbering{numbers: map[string]int{}},
 	}
 	for _, image := range t.colocation.filling {
 		t.fillingNumber(image)
@@ -55,8 +57,14 @@
 }
 
 func (t *imageTable) lastingNumber(image string) int {
-	i, added := t.lasting.of(image)
-	if added {
+	i, _ := t.lasting.of(image)
+	t.compareLasting()
+	return i
+}
+
+// compareLasting adds what the filling images do to the lasting images that are new to the table.
+func (t *imageTable) compareLasting() {
+	for _, image := range t.lasting.names[len(t.slopes):] {
 		slopes := make([]float64, len(t.filling.names))
 		for filling, name := range t.filling.names {
 			slopes[filling] = t.learner.slope(image, name)
@@ -64,5 +72,4 @@
 		t.slopes = append(t.slopes, slopes)
 		t.harms = append(t.harms, t.colocation.of(image))
 	}
-	return i
 }
--- a/core/tbassign/learn.go
+++ b/core/tbassign/learn.go
@@ -18,6 +18,7 @@
 	overSince map[string]time.Time
 	// paced holds the workers whose paces changed since the last look that was learned from.
 	paced map[string]bool
+	mixes mixes
 }
 
 // NewLearner returns a learner that trusts all estimates.
@@ -55,4 +56,5 @@
 	delete(l.looks, worker)
 	delete(l.overSince, worker)
 	delete(l.paced, worker)
+	l.mixes.forget(worker)
 }
--- a/core/tbassign/plan.go
+++ b/core/tbassign/plan.go
@@ -81,25 +81,22 @@
 
 // weigh counts what runs in each room, which lasting and filling steps are placed by.
 func (p *pools) weigh() {
+	p.learner.mixes.begin(p.state)
 	p.images, p.running = newImageTable(p.learner), map[imageOf]int64{}
 	// One allocation for all rooms.
 	n := p.images.learned
 	figures := make([]float64, 2*n*len(p.byWorker))
 	lasting := make([]imageCount, fewImages*len(p.byWorker))
-	for id, r := range p.byWorker {
+	for _, r := range p.byWorker {
 		r.worst, r.scarce, figures = figures[:0:n], figures[n:n:2*n], figures[2*n:]
-		r.lasting, lasting = lasting[:0:fewImages], lasting[fewImages:]
-		p.state.EachRun(id, func(ref tbflow.TaskRef, _ *tbflow.Task) {
-			step := p.state.StepOf(ref)
-			if step == nil {
-				return
-			}
-			p.occupy(r, step, 1)
-			if step.Fills {
-				p.running[imageOf{r.worker.Class, step.Image}] += step.Need.MilliProcessors
-			}
-		})
+		m := p.learner.mixes.of(r.worker)
+		r.lasting, lasting = append(lasting[:0:fewImages], m.lasting...), lasting[fewImages:]
+		r.unused -= m.used
+		for _, f := range m.fills {
+			p.running[imageOf{r.worker.Class, f.image}] += f.need
+		}
 	}
+	p.images.compareLasting()
 }
 
 // countSpread counts the tasks of a step with a spread limit in their rooms.
--- a/core/tbassign/room.go
+++ b/core/tbassign/room.go
@@ -1,9 +1,7 @@
 package tbassign
 
 import (
-	"cmp"
 	"math"
-	"slices"
 
 	"tamarackbarrow/core/tbfleet"
 	"tamarackbarrow/core/tbflow"
@@ -81,16 +79,11 @@
 
 // addLasting counts lasting tasks of an image in or out.
 func (r *room) addLasting(image, n int) {
-	i, found := slices.BinarySearchFunc(r.lasting, image, func(c imageCount, image int) int { return cmp.Compare(c.image, image) })
-	if found {
-		if r.lasting[i].tasks += n; r.lasting[i].tasks != 0 {
-			return
-		}
-		r.lasting = slices.Delete(r.lasting, i, i+1)
-	} else {
-		r.lasting = slices.Insert(r.lasting, i, imageCount{image, n})
+	images := len(r.lasting)
+	r.lasting = countImage(r.lasting, image, n)
+	if len(r.lasting) != images {
+		r.worst, r.scarce = r.worst[:0], r.scarce[:0]
 	}
-	r.worst, r.scarce = r.worst[:0], r.scarce[:0]
 }
 
 // worstSlope returns the strongest effect that a filling image has on any of the lasting images.
@@ -107,13 +100,10 @@
 
 // occupy counts what a task that does not fill is expected to use, or with sign -1 takes that back.
 func (p *pools) occupy(r *room, step *tbflow.Step, sign int) {
-	switch {
-	case step.Lasting:
+	if step.Lasting {
 		r.addLasting(p.images.lastingNumber(step.Image), sign)
-		r.unused -= int64(sign) * int64(float64(step.Need.MilliProcessors)*lastingLoad)
-	case !step.Fills:
-		r.unused -= int64(sign) * step.Need.MilliProcessors
 	}
+	r.unused -= int64(sign) * usedBy(step)
 }
 
 func (p *pools) take(r *room, w *waitingStep) { p.change(r, w, 1) }
--- a/core/tbflow/state.go
+++ b/core/tbflow/state.go
@@ -48,14 +48,16 @@
 	active []*Job
 	runs   map[string]map[TaskRef]*Task
 	use    map[string]Use
-	ended  []*Job
+	// changes counts the runs of each worker that were added or removed.
+	changes map[string]uint64
+	ended   []*Job
 }
 
 // New returns an empty state.
 func New() *State {
 	return &State{
 		Jobs: map[string]*Job{}, Workers: map[string]*WorkerRecord{},
-		runs: map[string]map[TaskRef]*Task{}, use: map[string]Use{},
+		runs: map[string]map[TaskRef]*Task{}, use: map[string]Use{}, changes: map[string]uint64{},
 	}
 }
 
@@ -87,6 +89,9 @@
 // Use returns what the assigned runs of a worker hold.
 func (s *State) Use(worker string) Use { return s.use[worker] }
 
+// Changes returns a number that rises with each run that a worker gets or no longer has.
+func (s *State) Changes(worker string) uint64 { return s.changes[worker] }
+
 // EachRun calls visit for each assigned run of a worker in no particular order.
 func (s *State) EachRun(worker string, visit func(ref TaskRef, t *Task)) {
 	for ref, t := range s.runs[worker] {
@@ -298,6 +303,7 @@
 		s.runs[t.Worker] = map[TaskRef]*Task{}
 	}
 	s.runs[t.Worker][ref] = t
+	s.changes[t.Worker]++
 	u := s.use[t.Worker]
 	u.add(&j.Steps[ref.Step], 1)
 	s.use[t.Worker] = u
@@ -315,6 +321,7 @@
 
 func (s *State) unplace(j *Job, ref TaskRef, t *Task) {
 	delete(s.runs[t.Worker], ref)
+	s.changes[t.Worker]++
 	u := s.use[t.Worker]
 	u.add(&j.Steps[ref.Step], -1)
 	s.use[t.Worker] = u
