Measure how long events wait in the daemon

The times of workers' answers and of disk syncs were in the metrics, but not how long an event waits behind others before the node handles it, which is what a slow decision costs everything else.

Each event is stamped when it is handed to the loop; the histogram 'event' under latencies has its wait. The one test that read the loop's channel itself now takes events as the loop does.

--- a/io/tbdaemon/ask_test.go
+++ b/io/tbdaemon/ask_test.go
@@ -55,7 +55,7 @@
 	})
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, d.addressOf(7), qt.Equals, "127.0.0.1:9")
-	d.node.Step(d.clock.Now(), <-d.events)
+	d.take(<-d.events)
 	d.publish(d.clock.Now())
 	qt.Assert(t, d.node.Control.Replica().LeaderID(), qt.Equals, tbconsensus.ReplicaID(7))
 	qt.Check(t, d.inGroup.Load(), qt.IsFalse)
--- a/io/tbdaemon/daemon.go
+++ b/io/tbdaemon/daemon.go
@@ -38,7 +38,7 @@
 	routineLog hclog.Logger
 	node       *tbnode.Node
 	codec      *tbcodec.Codec
-	events     chan tbnode.Event
+	events     chan arrival
 	replies    sync.Map
 	nextID     atomic.Uint64
 	peers      *tbpeer.Client
@@ -85,7 +85,7 @@
 	httpClient := tbrunnerclient.NewHTTPClient()
 	d := &Daemon{
 		settings: settings, log: log, routineLog: routine,
-		codec: tbcodec.New(parseBundle), events: make(chan tbnode.Event, eventQueueSize),
+		codec: tbcodec.New(parseBundle), events: make(chan arrival, eventQueueSize),
 		peers: tbpeer.New(settings.SourceIP, traffic), runners: tbrunnerclient.New(httpClient), backends: httpClient,
 		outboxes: map[string]*outbox{}, counters: newCounters(traffic), traffic: traffic,
 		stopped: make(chan struct{}), ctx: ctx, cancel: cancel,
@@ -281,10 +281,16 @@
 	}
 }
 
+// arrival is an event and when it was handed to the loop.
+type arrival struct {
+	event tbnode.Event
+	at    time.Time
+}
+
 // push hands an event to the loop; it waits when the loop is far behind.
 func (d *Daemon) push(ev tbnode.Event) {
 	select {
-	case d.events <- ev:
+	case d.events <- arrival{ev, time.Now()}:
 	case <-d.ctx.Done():
 	}
 }
@@ -297,8 +303,8 @@
 		select {
 		case <-d.ctx.Done():
 			return
-		case ev := <-d.events:
-			d.perform(d.node.Step(d.clock.Now(), ev))
+		case a := <-d.events:
+			d.take(a)
 			d.drain()
 		case <-timer.C:
 			d.perform(d.node.Tick(d.clock.Now()))
@@ -310,12 +316,17 @@
 	}
 }
 
+func (d *Daemon) take(a arrival) {
+	d.counters.histograms.observe(latencyEvent, time.Since(a.at))
+	d.perform(d.node.Step(d.clock.Now(), a.event))
+}
+
 // drain handles what is already at hand, so that proposals and syncs of the disk are shared.
 func (d *Daemon) drain() {
 	for range maxDrained {
 		select {
-		case ev := <-d.events:
-			d.perform(d.node.Step(d.clock.Now(), ev))
+		case a := <-d.events:
+			d.take(a)
 		default:
 			return
 		}
--- /dev/null
+++ b/io/tbdaemon/event_test.go
@@ -0,0 +1,33 @@
+package tbdaemon
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"tamarackbarrow/core/tbentry"
+	"tamarackbarrow/core/tbnode"
+	"tamarackbarrow/io/tbsettings"
+)
+
+// How long an event waits behind others shows in the metrics.
+func TestWaitOfAnEventIsMeasured(t *testing.T) {
+	settings := tbsettings.Settings{
+		ID: "a", PeerAddress: "127.0.0.1:1", CallerAddress: "127.0.0.1:2",
+		Times: tbsettings.Times{ElectionTimeout: time.Second, Heartbeat: 100 * time.Millisecond},
+	}
+	d, err := New(settings, hclog.NewNullLogger(), hclog.NewNullLogger())
+	qt.Assert(t, err, qt.IsNil)
+	d.push(tbnode.Event{Entry: tbentry.BatchEnded{}})
+	d.push(tbnode.Event{Entry: tbentry.BatchEnded{}})
+	const wait = 5 * time.Millisecond
+	time.Sleep(wait)
+	d.drain()
+	waits := d.counters.histograms.byName[latencyEvent]
+	qt.Assert(t, waits, qt.IsNotNil)
+	qt.Check(t, waits.TotalCount(), qt.Equals, int64(2))
+	// The histogram keeps two digits.
+	qt.Check(t, waits.Min() >= wait.Microseconds()*99/100, qt.IsTrue, qt.Commentf("%d us", waits.Min()))
+}
--- a/io/tbdaemon/histograms.go
+++ b/io/tbdaemon/histograms.go
@@ -23,6 +23,7 @@
 	latencyWorkerStop  = "workerStop"
 	latencyWorkerLook  = "workerLook"
 	latencyDiskSync    = "diskSync"
+	latencyEvent       = "event"
 )
 
 // histograms holds one latency histogram a name.
