--- a/io/tbdaemon/histograms.go
+++ b/io/tbdaemon/histograms.go
@@ -24,6 +24,7 @@
 	latencyWorkerPace  = "workerPace"
 	latencyWorkerLook  = "workerLook"
 	latencyDiskSync    = "diskSync"
+	latencyEvent       = "event"
 )
 
 // histograms holds one latency histogram a name.
