Soak the real daemons under faults that are injected from outside them

Nothing ran the real processes under random faults with workers that follow the platform's rules strictly.

platform/tbsoak starts five control instances and two fronts, puts proxies before each of them and before six hosts of workers, and draws faults from a seed: kills, pauses, stops, reloads, empty disks, cuts, silence, delays and resets, late orders, lost answers, workers that crash, leave and come back.

--- a/Makefile
+++ b/Makefile
@@ -2,11 +2,12 @@
 
 SEED ?= 1
 SOAK_SCHEDULES ?= 50000
+SEEDS ?= 1
 
 # The tests that KNOWN-RED.txt lists as failing for a fault that is not mended yet.
 KNOWN_RED = $(shell sed -n 's/^ *test: *\([A-Za-z0-9_]*\).*/^\1$$/p' KNOWN-RED.txt | paste -s -d '|')
 
-.PHONY: build test test-race lint words check demo bench soak generate clean
+.PHONY: build test test-race lint words check demo bench soak soak-processes generate clean
 
 build: ## Build both programs into bin/.
 	go build -o bin/ ./cmd/...
@@ -41,6 +42,9 @@
 soak: ## Run many random schedules, from SEED on.
 	go test ./core/... -run Schedules -timeout 2h -args -seed=$(SEED) -schedules=$(SOAK_SCHEDULES)
 
+soak-processes: build ## Run SEEDS fault soaks of real daemons, from SEED on; reports and the logs of failures go to bench/soak.
+	go test ./platform/tbsoak -run 'TestSoak$$' -v -timeout 4h -args -seed=$(SEED) -seeds=$(SEEDS) -folder=$(CURDIR)/bench/soak
+
 generate: ## Regenerate the code of the proto files; needs buf and its plugins on the path.
 	buf generate --template buf.gen.public.yaml --path io/tbproto/v1/public.proto
 	buf generate --template buf.gen.peer.yaml --path io/tbproto/v1/peer.proto
--- a/io/tblaunch/cluster.go
+++ b/io/tblaunch/cluster.go
@@ -106,6 +106,11 @@
 	return in, err
 }
 
+// FromSettings returns an instance whose settings file its caller wrote.
+func FromSettings(id, binary, settings, log string) *Instance {
+	return &Instance{ID: id, binary: binary, settings: settings, log: log}
+}
+
 // freeAddresses returns n different addresses on which nothing listens.
 func freeAddresses(ip string, n int) (addresses []string, err error) {
 	for range n {
@@ -190,6 +195,16 @@
 // Signal sends a signal such as SIGSTOP, which freezes the process.
 func (in *Instance) Signal(s os.Signal) error { return in.process.Process.Signal(s) }
 
+// Exited reports whether the process has ended by itself, and once returns the error of a bad exit.
+func (in *Instance) Exited() (exited bool, err error) {
+	select {
+	case err := <-in.ended:
+		return true, err
+	default:
+		return false, nil
+	}
+}
+
 // stopLimit is above the stop limit of the default settings.
 const stopLimit = 45 * time.Second
 
--- a/io/tbproxy/proxy.go
+++ b/io/tbproxy/proxy.go
@@ -84,6 +84,23 @@
 	}
 }
 
+// Reset closes all connections of a source, or of all with AnySource, as a crashed instance does.
+func (p *Proxy) Reset(source string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for l := range p.links {
+		if source == AnySource || l.source == source {
+			for _, c := range []net.Conn{l.client, l.server} {
+				if tcp, ok := c.(*net.TCPConn); ok {
+					// A connection that is closed already cannot be reset.
+					_ = tcp.SetLinger(0)
+				}
+				c.Close()
+			}
+		}
+	}
+}
+
 // Close ends the proxy and all its connections.
 func (p *Proxy) Close() {
 	p.mu.Lock()
