A reload signal while a daemon starts does not end it

Cause: the signal was handled only after the settings were read and the data folder was opened; until then it ends the process. Change: it is handled first. The moments before the program runs its first line remain.

--- a/io/tbcommand/command.go
+++ b/io/tbcommand/command.go
@@ -98,6 +98,9 @@
 }
 
 func (t *tool) serve(file, level string) error {
+	// Before anything else: until then the signal ends the process.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	settings, err := tbsettings.Load(file)
 	if err != nil {
 		return err
@@ -120,8 +123,6 @@
 	if a := settings.Adapter; a != (tbsettings.Adapter{StopTimeout: a.StopTimeout}) {
 		d.Attach(t.adapt(settings, d, log))
 	}
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	d.WatchSettings(file, hup)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
