--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 # The tests that KNOWN-RED.txt lists as failing for a fault that is not mended yet.
 KNOWN_RED = $(shell sed -n 's/^ *test: *\([A-Za-z0-9_]*\).*/^\1$$/p' KNOWN-RED.txt | paste -s -d '|')
 
-.PHONY: build test test-race lint words check demo bench soak soak-processes generate clean
+.PHONY: build test test-race lint words check demo bench soak soak-processes soak-short soak-regressions generate clean
 
 build: ## Build both programs into bin/.
 	go build -o bin/ ./cmd/...
@@ -45,6 +45,12 @@
 soak-processes: build ## Run SEEDS fault soaks of real daemons, from SEED on; reports and the logs of failures go to bench/soak.
 	go test ./platform/tbsoak -run 'TestSoak$$' -v -timeout 4h -args -seed=$(SEED) -seeds=$(SEEDS) -folder=$(CURDIR)/bench/soak
 
+soak-short: ## Run two fault soaks of real daemons with fewer faults, as CI does.
+	go test ./platform/tbsoak -run 'TestSoak$$' -count 1 -v -timeout 10m -args -seed=1 -seeds=2 -faults=10s -folder=$(CURDIR)/bench/soak-short
+
+soak-regressions: ## Run the fault soaks that failed once.
+	go test ./platform/tbsoak -run 'TestSoak$$' -count 1 -v -timeout 1h -args -failed -folder=$(CURDIR)/bench/soak-regressions
+
 generate: ## Regenerate the code of the proto files; needs buf and its plugins on the path.
 	buf generate --template buf.gen.public.yaml --path io/tbproto/v1/public.proto
 	buf generate --template buf.gen.peer.yaml --path io/tbproto/v1/peer.proto
