Take joined gaps out again

It let lasting tasks move together while short tasks wait for gaps that are larger than any.

Conclusion: moves that help where instances are lost unsettle lasting tasks where they are not.

--- a/core/tbassign/rebalance.go
+++ b/core/tbassign/rebalance.go
@@ -43,10 +43,8 @@
 type Rebalancer struct {
 	next  time.Time
 	round int
-	// nextJoin is when gaps may be joined next.
-	nextJoin time.Time
-	pins     map[tbflow.TaskRef]pin
-	moved    map[tbflow.TaskRef]time.Time
+	pins  map[tbflow.TaskRef]pin
+	moved map[tbflow.TaskRef]time.Time
 }
 
 // Move is a lasting task that should give up its place for another one.
--- a/core/tbcontrol/flow.go
+++ b/core/tbcontrol/flow.go
@@ -269,9 +269,7 @@
 
 // moveLasting stops the lasting tasks that should change places; the next plans start them there.
 func (l *flowLead) moveLasting(c *Control, now time.Time) {
-	moves := l.rebalance.Joins(now, c.state.Flow, l.fleet, l.learner)
-	moves = append(moves, l.rebalance.Moves(now, c.state.Flow, l.fleet, l.learner)...)
-	for _, m := range moves {
+	for _, m := range l.rebalance.Moves(now, c.state.Flow, l.fleet, l.learner) {
 		c.emit(Log{Message: "lasting task moves", Args: []any{
 			"job", m.Ref.Job, "task", m.Ref.String(), "worker", m.From, "to", m.To, "gain", m.Gain, "index", c.state.Applied,
 		}})
