--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,7 @@
 soak-processes: build ## Run SEEDS fault soaks of real daemons, from SEED on; reports and the logs of failures go to bench/soak.
 	go test ./platform/tbsoak -run 'TestSoak$$' -v -timeout 4h -args -seed=$(SEED) -seeds=$(SEEDS) -folder=$(CURDIR)/bench/soak
 
-soak-short: ## Run two fault soaks of real daemons with fewer faults, within a minute or two.
+soak-short: ## Run two fault soaks of real daemons with fewer faults, as CI does.
 	go test ./platform/tbsoak -run 'TestSoak$$' -count 1 -v -timeout 10m -args -seed=1 -seeds=2 -faults=10s -folder=$(CURDIR)/bench/soak-short
 
 soak-regressions: ## Run the fault soaks that failed once.
