Record which long-running runs workers have listed

Cause: a new leader cannot know whether a start of the earlier leader is still in flight.

Change: the leader records, once for each run of a long-running task, that the incarnation to which it is assigned has listed it (RecordListed). Such a run is not in flight any more, so a new leader waits for its lease only, about 6 s, or ends it at once if a later incarnation is recorded. For all other runs the waits begin at the takeover. The age of a start is not needed any more.

Tests that compared jobs with qt.DeepEquals use reflect.DeepEqual, which also compares the counts.

--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -29,7 +29,9 @@
 	pollPermits map[incarnationKey]bool
 	// lastPermitIndex is the index in sortedWorkers of the worker that last got a released permit.
 	lastPermitIndex int
-	output          Output
+	// unansweredStarts is the number of starts whose results have not arrived.
+	unansweredStarts int
+	output           Output
 }
 
 // Worker is the leader's view of one incarnation of a worker.
@@ -125,7 +127,10 @@
 	// listed is true once the incarnation to which the start was addressed has listed the run as
 	// running in a poll answer.
 	listed bool
-	// startSentAt is when the start was ordered.
+	// longRunning is true for a run of a long-running task.
+	longRunning bool
+	// startSentAt is when the start was ordered, or the time of the takeover if an earlier leader
+	// ordered it.
 	startSentAt time.Time
 	// confirmedAt is the later of two times: when the start was accepted, and when the newest poll
 	// was sent whose answer listed the run as running.
@@ -169,11 +174,11 @@
 	return &Fleet{params: params, term: term, workers: map[string]*Worker{}, workersByAddress: map[string][]*Worker{}, removedAt: map[string]time.Time{}, firstFailedOn: map[string]string{}, pollPermits: map[incarnationKey]bool{}}
 }
 
-// maxClockSkew is the largest difference between the wall clocks of two leaders, including clock
-// steps.
-const maxClockSkew = 5 * time.Second
-
 // TakeOver loads the recorded workers and the runs that the state assigns to workers.
+//
+// A run that no worker has listed may still be in flight as a start, and a later incarnation may
+// execute that start. The earlier leader may have sent orders that renew the lease until now. The
+// waits for such a run therefore begin now, not at its start.
 func (f *Fleet) TakeOver(now time.Time, s *tbflow.State) {
 	for id, r := range s.Workers {
 		w := f.ensureWorker(id)
@@ -190,16 +195,23 @@
 	for _, id := range s.BusyWorkers() {
 		w := f.ensureWorker(id)
 		w.leaseExpiresAt = now.Add(f.maxLeaseDuration(f.params.MaxLease))
+		w.leaseRenewalSentAt = now
 		s.EachRun(id, func(ref tbflow.TaskRef, t *tbflow.Task) {
-			age := max(0, time.Duration(s.NowMs-t.AssignedMs)*time.Millisecond-maxClockSkew)
-			run := &Run{Number: t.Run, Checkpoint: t.Checkpoint, Speed: FullSpeed, startSentAt: now.Add(-age)}
+			run := &Run{Number: t.Run, Checkpoint: t.Checkpoint, Speed: FullSpeed, startSentAt: now, listed: s.IsListed(ref, t.Run)}
 			if step := s.StepOf(ref); step != nil {
-				run.SpeedUnknown = step.BestEffort
+				run.SpeedUnknown, run.longRunning = step.BestEffort, step.LongRunning
 			}
-			if t.Incarnation < w.Incarnation {
+			w.runs[ref] = run
+			switch {
+			case t.Incarnation < w.Incarnation && run.listed:
+				// The run has ended with the earlier incarnation, which executed it.
+				run.Phase = RunEnding
+				f.output.Commands = append(f.output.Commands, tbflow.RecordEnds{Worker: id, Incarnation: t.Incarnation, Ends: []tbflow.End{
+					{Ref: ref, Run: t.Run, Kind: tbflow.EndStopped, Checkpoint: t.Checkpoint},
+				}})
+			case t.Incarnation < w.Incarnation:
 				run.Phase, run.earlierIncarnation = RunUnconfirmed, t.Incarnation
 			}
-			w.runs[ref] = run
 		})
 	}
 }
@@ -269,6 +281,22 @@
 	return all
 }
 
+// UnansweredStarts returns the number of starts that were ordered and have neither been answered nor
+// timed out.
+func (f *Fleet) UnansweredStarts() int { return f.unansweredStarts }
+
+// Size returns the number of workers in the fleet, including those that are not registered.
+func (f *Fleet) Size() int { return len(f.sortedWorkers) }
+
+// WorkerAt returns the worker at an index of the list of all workers, which is sorted by ID, or nil
+// if that worker is not registered. The index has to be less than Size.
+func (f *Fleet) WorkerAt(index int) *Worker {
+	if w := f.sortedWorkers[index]; w.registered {
+		return w
+	}
+	return nil
+}
+
 // removeSilentAfter is the time without contact after which a worker without runs is removed.
 const removeSilentAfter = 15 * time.Second
 
@@ -470,7 +498,7 @@
 }
 
 func (f *Fleet) newTarget(w *Worker) Target {
-	return Target{ID: w.ID, Address: w.Address, Incarnation: w.Incarnation, Token: f.term<<serialBits | w.serial}
+	return Target{ID: w.ID, Address: w.Address, Incarnation: w.Incarnation, DataCentre: w.DataCentre, Token: f.term<<serialBits | w.serial}
 }
 
 func (f *Fleet) addOrder(o Order) { f.output.Orders = append(f.output.Orders, o) }
--- a/core/tbfleet/leader_fake_test.go
+++ b/core/tbfleet/leader_fake_test.go
@@ -258,6 +258,8 @@
 		return key
 	case tbflow.RemoveWorker:
 		return c.Worker + " 1"
+	case tbflow.RecordListed:
+		return fmt.Sprintf("%s 2 %020d %v", c.Worker, c.Incarnation, c.Runs)
 	}
 	panic(fmt.Sprintf("the fleet proposed %T", c))
 }
--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -40,7 +40,7 @@
 		return
 	}
 	w := f.ensureWorker(a.Worker)
-	run := &Run{Number: a.Run, Phase: RunOrdered, Checkpoint: t.Checkpoint, Speed: FullSpeed, startSentAt: now}
+	run := &Run{Number: a.Run, Phase: RunOrdered, Checkpoint: t.Checkpoint, Speed: FullSpeed, startSentAt: now, longRunning: j.Steps[a.Ref.Step].LongRunning}
 	w.runs[a.Ref] = run
 	if !w.registered || w.Incarnation != a.Incarnation || !w.lastClockReading.isKnown() {
 		// No order is sent: either the intended incarnation no longer exists, or no lease can be
@@ -49,6 +49,7 @@
 		return
 	}
 	w.fenceOffAck()
+	f.unansweredStarts++
 	f.addOrder(Start{
 		Target: f.newTarget(w), Ref: a.Ref, Run: a.Run, Spec: j.Spec, Checkpoint: t.Checkpoint,
 		LeaseEndMs: f.renewLease(now, w), Timeout: f.params.OrderTimeout,
@@ -78,6 +79,7 @@
 
 // HandleStartAnswered handles the result of a Start.
 func (f *Fleet) HandleStartAnswered(now time.Time, a StartAnswered) {
+	f.unansweredStarts = max(0, f.unansweredStarts-1)
 	w := f.workers[a.Worker]
 	if w == nil || w.runs[a.Ref] == nil || w.runs[a.Ref].Number != a.Run {
 		return
@@ -108,6 +110,9 @@
 		f.handleStartRefused(now, w, a, run)
 	case OtherWorker:
 		f.markReplaced(now, w)
+	case NotSent:
+		f.output.LogEvents = append(f.output.LogEvents, LogEvent{Message: "start not sent", Worker: w.ID, Ref: a.Ref, Run: a.Run, Detail: a.Cause})
+		f.proposeNeverRan(w, w.Incarnation, a.Ref, run)
 	case Unconfirmed:
 		f.output.LogEvents = append(f.output.LogEvents, LogEvent{Message: "start not answered", Worker: w.ID, Ref: a.Ref, Run: a.Run, Detail: a.Cause})
 		if run.Phase == RunOrdered {
--- a/core/tbfleet/poll.go
+++ b/core/tbfleet/poll.go
@@ -110,6 +110,10 @@
 	case a.Outcome == Refused && w.pollSuperseded:
 		f.reconcile(now, w)
 		return
+	case a.Outcome == NotSent:
+		w.nextPollAt = now.Add(recheckPause)
+		f.reconcile(now, w)
+		return
 	case a.Outcome == Accepted && a.ActualIncarnation > w.Incarnation:
 		report := w.Report
 		report.Incarnation, report.Sequence, report.Draining, report.ClockMs = a.ActualIncarnation, 0, false, a.ClockMs
@@ -158,7 +162,11 @@
 	f.reconcile(now, w)
 }
 
+// updateListedRuns updates the runs that the worker lists as running. It proposes to record the
+// long-running ones that this incarnation lists for the first time. Other runs end so soon that
+// recording them is not worth the log entries.
 func (f *Fleet) updateListedRuns(now time.Time, w *Worker, a PollAnswered) {
+	var firstListed []tbflow.RunRef
 	for _, r := range a.Running {
 		run := w.runs[r.Ref]
 		if run == nil || run.Number != r.Run {
@@ -171,7 +179,12 @@
 			continue
 		}
 		if run.Phase != RunEnding {
-			run.listed = run.listed || run.earlierIncarnation == 0
+			if !run.listed && run.earlierIncarnation == 0 {
+				run.listed = true
+				if run.longRunning {
+					firstListed = append(firstListed, tbflow.RunRef{Ref: r.Ref, Run: r.Run})
+				}
+			}
 			switch {
 			case run.earlierIncarnation != 0:
 				// A later incarnation executed a start addressed to an earlier one.
@@ -191,6 +204,9 @@
 			run.Checkpoint = r.Checkpoint
 		}
 	}
+	if len(firstListed) > 0 {
+		f.output.Commands = append(f.output.Commands, tbflow.RecordListed{Worker: w.ID, Incarnation: w.Incarnation, Runs: firstListed})
+	}
 }
 
 func maxTime(a, b time.Time) time.Time {
--- a/core/tbfleet/start_age_test.go
+++ b/core/tbfleet/start_age_test.go
@@ -11,10 +11,9 @@
 	"tamarackbarrow/core/tbresource"
 )
 
-// A start is unanswered. A leader whose wall clock is 2 s ahead commits a command and ends. The
-// next leader computes the age of the start from the state's time, so the age is 2 s too high. If
-// the next leader ignored this error, it would give the run up 2 s early, although a restarted
-// worker may execute the start that late.
+// A start is unanswered. A leader whose wall clock is 2 s ahead commits a command and ends. If the
+// next leader computed the age of the start from the state's time, the age would be 2 s too high.
+// It would give the run up 2 s early, although a restarted worker may execute the start that late.
 func TestAgeOfStartToleratesWallClockSkewOfLeaders(t *testing.T) {
 	ordered := time.UnixMilli(1_700_000_000_000)
 	incarnation := ordered.Add(-time.Minute).UnixMilli()
--- a/core/tbfleet/types.go
+++ b/core/tbfleet/types.go
@@ -56,6 +56,7 @@
 	ID          string
 	Address     string
 	Incarnation int64
+	DataCentre  string
 	// Token is the fencing token. A worker refuses an order whose token is lower than one that the
 	// worker has seen.
 	Token uint64
@@ -134,6 +135,9 @@
 	Refused
 	// OtherWorker means that a worker with another ID answered at the address.
 	OtherWorker
+	// NotSent means that the order was given up before it was sent to the worker, for example
+	// because the sending process was suspended for too long.
+	NotSent
 )
 
 // StartAnswered is the result of a Start: its answer, or that there was none.
--- a/core/tbflow/commands.go
+++ b/core/tbflow/commands.go
@@ -76,6 +76,23 @@
 	Ends        []End
 }
 
+// RunRef identifies one run of a task.
+type RunRef struct {
+	Ref TaskRef
+	Run uint64
+}
+
+// RecordListed records that a worker incarnation has listed runs as running. Runs that are not
+// assigned to that incarnation are ignored.
+//
+// A listed run is known to execute at the incarnation to which it is assigned. A new leader
+// therefore need not consider that a later incarnation may execute the start of the run.
+type RecordListed struct {
+	Worker      string
+	Incarnation int64
+	Runs        []RunRef
+}
+
 // RecordWorker records the address and the properties of one incarnation of a worker.
 type RecordWorker struct {
 	Worker      string
@@ -125,6 +142,7 @@
 func (RecordDraining) isCommand()     {}
 func (RecordWorker) isCommand()       {}
 func (RemoveWorker) isCommand()       {}
+func (RecordListed) isCommand()       {}
 
 // Reason says why a command was rejected. The empty reason means that the command was applied or
 // had no effect.
--- a/core/tbflow/job.go
+++ b/core/tbflow/job.go
@@ -160,8 +160,56 @@
 	Seq uint64
 	// Tasks are indexed by occurrence, step and index.
 	Tasks [][][]Task
+
+	// counts holds the task counts by occurrence and step. waitingTasks is the number of waiting
+	// tasks in all occurrences. Both are computed from Tasks.
+	counts       [][]stepCounts
+	waitingTasks int
+}
+
+// stepCounts holds how many tasks of a step are waiting and how many are done.
+type stepCounts struct{ waiting, done int }
+
+func (c *stepCounts) add(p TaskPhase, n int) {
+	switch p {
+	case TaskWaiting:
+		c.waiting += n
+	case TaskDone:
+		c.done += n
+	}
 }
 
+// countTasks computes the counts from Tasks.
+func (j *Job) countTasks() {
+	j.counts, j.waitingTasks = make([][]stepCounts, len(j.Tasks)), 0
+	for k := range j.Tasks {
+		j.counts[k] = make([]stepCounts, len(j.Tasks[k]))
+		for i := range j.Tasks[k] {
+			c := &j.counts[k][i]
+			for n := range j.Tasks[k][i] {
+				c.add(j.Tasks[k][i][n].Phase, 1)
+			}
+			j.waitingTasks += c.waiting
+		}
+	}
+}
+
+// setPhase sets the phase of a task and updates the counts.
+func (j *Job) setPhase(ref TaskRef, t *Task, p TaskPhase) {
+	c := &j.counts[ref.Occurrence][ref.Step]
+	waitingBefore := c.waiting
+	c.add(t.Phase, -1)
+	t.Phase = p
+	c.add(p, 1)
+	j.waitingTasks += c.waiting - waitingBefore
+}
+
+// WaitingTasks returns the number of waiting tasks of a step.
+func (j *Job) WaitingTasks(occurrence, step int) int { return j.counts[occurrence][step].waiting }
+
+// HasWaitingTasks reports whether any task of the job is waiting, in any occurrence.
+func (j *Job) HasWaitingTasks() bool { return j.waitingTasks > 0 }
+
 // Task returns the task that ref identifies, or nil if there is none.
 func (j *Job) Task(ref TaskRef) *Task {
 	if ref.Occurrence < 0 || ref.Occurrence >= len(j.Tasks) || ref.Step < 0 || ref.Step >= len(j.Steps) {
@@ -184,12 +232,7 @@
 
 // StepDone reports whether all tasks of a step are done.
 func (j *Job) StepDone(occurrence, step int) bool {
-	for i := range j.Tasks[occurrence][step] {
-		if j.Tasks[occurrence][step][i].Phase != TaskDone {
-			return false
-		}
-	}
-	return true
+	return j.counts[occurrence][step].done == len(j.Tasks[occurrence][step])
 }
 
 // StepReady reports whether all steps in the DependsOn list of a step are done.
--- a/core/tbflow/state.go
+++ b/core/tbflow/state.go
@@ -50,6 +50,8 @@
 	// Interference holds the learned effects of best-effort images on co-located long-running
 	// images.
 	Interference []Interference
+	// Listed holds the numbers of the assigned runs that RecordListed has recorded.
+	Listed map[TaskRef]uint64
 
 	// activeJobs holds the jobs that have not ended, in order of submission.
 	activeJobs []*Job
@@ -65,7 +67,7 @@
 // New returns an empty state.
 func New() *State {
 	return &State{
-		Jobs: map[string]*Job{}, Workers: map[string]*WorkerRecord{},
+		Jobs: map[string]*Job{}, Workers: map[string]*WorkerRecord{}, Listed: map[TaskRef]uint64{},
 		assignedTasks: map[string]map[TaskRef]*Task{}, usageByWorker: map[string]Usage{}, runChanges: map[string]uint64{},
 	}
 }
@@ -83,6 +85,7 @@
 		} else {
 			s.endedJobs = append(s.endedJobs, j)
 		}
+		j.countTasks()
 		j.EachTask(func(ref TaskRef, t *Task) {
 			if t.Phase == TaskAssigned {
 				s.addRun(j, ref, t)
@@ -155,6 +158,9 @@
 	case RecordInterference:
 		s.Interference = c.Interference
 		return OK
+	case RecordListed:
+		s.recordListed(c)
+		return OK
 	case RecordWorker:
 		s.recordWorker(c)
 		return OK
@@ -217,6 +223,7 @@
 			}
 		}
 	}
+	j.countTasks()
 	s.Jobs[j.ID] = &j
 	s.activeJobs = append(s.activeJobs, &j)
 	return OK
@@ -292,7 +299,7 @@
 	case w.Draining:
 		return WorkerDraining
 	}
-	t.Phase = TaskAssigned
+	j.setPhase(a.Ref, t, TaskAssigned)
 	t.Run, t.Worker, t.Incarnation, t.AssignedMs = a.Run, a.Worker, a.Incarnation, s.NowMs
 	s.addRun(j, a.Ref, t)
 	if j.Phase == Queued {
@@ -335,12 +342,14 @@
 
 func (s *State) removeRun(j *Job, ref TaskRef, t *Task) {
 	delete(s.assignedTasks[t.Worker], ref)
+	delete(s.Listed, ref)
 	s.runChanges[t.Worker]++
 	u := s.usageByWorker[t.Worker]
 	u.addNeed(&j.Steps[ref.Step], -1)
 	s.usageByWorker[t.Worker] = u
 	t.Worker, t.Incarnation = "", 0
-	t.Phase, t.WaitingSinceMs = TaskWaiting, s.NowMs
+	j.setPhase(ref, t, TaskWaiting)
+	t.WaitingSinceMs = s.NowMs
 }
 
 // recordWorker stores a worker's address and properties, so that a new leader can poll it at once.
@@ -353,6 +362,20 @@
 	w.Labels, w.Capacity = c.Labels, c.Capacity
 }
 
+func (s *State) recordListed(c RecordListed) {
+	for _, r := range c.Runs {
+		if t := s.assignedTasks[c.Worker][r.Ref]; t != nil && t.Run == r.Run && t.Incarnation == c.Incarnation {
+			s.Listed[r.Ref] = r.Run
+		}
+	}
+}
+
+// IsListed reports whether RecordListed has recorded the assigned run of a task.
+func (s *State) IsListed(ref TaskRef, run uint64) bool {
+	recorded, ok := s.Listed[ref]
+	return ok && recorded == run
+}
+
 func (s *State) recordEnds(c RecordEnds) Reason {
 	if w := s.ensureWorkerRecord(c.Worker, c.Incarnation); w.Incarnation == c.Incarnation {
 		w.LastRecordedEnd = max(w.LastRecordedEnd, c.LastEnd)
@@ -383,7 +406,7 @@
 	}
 	switch {
 	case e.Kind == EndDone && !step.LongRunning:
-		t.Phase = TaskDone
+		j.setPhase(e.Ref, t, TaskDone)
 		if step.Gang {
 			s.completeGang(j, e)
 		}
@@ -425,7 +448,7 @@
 		if t := &tasks[i]; t.Phase == TaskAssigned {
 			s.removeRun(j, ref, t)
 		}
-		tasks[i].Phase = TaskDone
+		j.setPhase(ref, &tasks[i], TaskDone)
 	}
 }
 
--- a/io/tbflowcodec/codec.go
+++ b/io/tbflowcodec/codec.go
@@ -19,6 +19,7 @@
 		tbflow.PutConfig{}, tbflow.Submit{}, tbflow.Cancel{}, tbflow.Assign{},
 		tbflow.RecordEnds{}, tbflow.RecordDraining{},
 		tbflow.RecordWorker{}, tbflow.RemoveWorker{}, tbflow.RecordInterference{},
+		tbflow.RecordListed{},
 	}
 	leaderRequestTypes = []any{
 		tbcontrol.SubmitRequested{}, tbcontrol.CancelRequested{}, tbcontrol.JobStateRequested{}, tbcontrol.QueueLengthRequested{},
@@ -64,7 +65,8 @@
 }
 
 // storedState is the part of the state that is stored in a snapshot. The rest of the state is derived
-// from it by Rebuild.
+// from it by Rebuild. New fields must be appended at the end, because snapshots of earlier versions
+// have fewer fields.
 type storedState struct {
 	NowMs        int64
 	Config       tbflow.Config
@@ -72,6 +74,25 @@
 	Workers      map[string]*tbflow.WorkerRecord
 	NextSeq      uint64
 	Interference []tbflow.Interference
+	Listed       []tbflow.RunRef
+}
+
+// DecodeMsgpack decodes the fields in order, as far as the encoding contains them.
+func (st *storedState) DecodeMsgpack(d *msgpack.Decoder) error {
+	fields := []any{&st.NowMs, &st.Config, &st.Jobs, &st.Workers, &st.NextSeq, &st.Interference, &st.Listed}
+	n, err := d.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	if n > len(fields) {
+		return fmt.Errorf("%d fields, at most %d are known", n, len(fields))
+	}
+	for _, field := range fields[:max(0, n)] {
+		if err := d.Decode(field); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // EncodeState encodes the state of multi-step jobs for a snapshot.
@@ -80,6 +101,9 @@
 	for _, j := range s.Jobs {
 		st.Jobs = append(st.Jobs, j)
 	}
+	for ref, run := range s.Listed {
+		st.Listed = append(st.Listed, tbflow.RunRef{Ref: ref, Run: run})
+	}
 	return encode(st)
 }
 
@@ -100,6 +124,9 @@
 	for id, w := range st.Workers {
 		s.Workers[id] = w
 	}
+	for _, r := range st.Listed {
+		s.Listed[r.Ref] = r.Run
+	}
 	s.Rebuild()
 	return s, nil
 }
--- a/io/tbflowcodec/codec_test.go
+++ b/io/tbflowcodec/codec_test.go
@@ -29,12 +29,14 @@
 		tbflow.RecordWorker{Worker: "w", Incarnation: 5, Address: "a:1", Labels: []string{"x"}},
 		tbflow.RemoveWorker{Worker: "w", Incarnation: 5},
 		tbflow.RecordInterference{Interference: []tbflow.Interference{{LongRunningImage: "l", BestEffortImage: "f", Slope: -1.5}}},
+		tbflow.RecordListed{Worker: "w", Incarnation: 5, Runs: []tbflow.RunRef{{Ref: ref, Run: 4}}},
 	} {
 		decoded, err := DecodeCommand(EncodeCommand(c))
 		qt.Assert(t, err, qt.IsNil)
-		qt.Check(t, decoded, qt.DeepEquals, c)
+		// qt.DeepEquals cannot compare the unexported fields of a job.
+		qt.Check(t, reflect.DeepEqual(decoded, c), qt.IsTrue, qt.Commentf("%v, not %v", decoded, c))
 	}
-	qt.Check(t, len(commandTypes), qt.Equals, 9, qt.Commentf("add a case for each new command type"))
+	qt.Check(t, len(commandTypes), qt.Equals, 10, qt.Commentf("add a case for each new command type"))
 }
 
 // For the requests, only the types are compared, because all fields of leaderRequestTypes are zero.
@@ -57,15 +59,36 @@
 	singleStepJob.Repeat, singleStepJob.Steps = 0, []tbflow.Step{{Count: 2, Need: tbresource.Amount{MilliProcessors: 7}}}
 	s.Apply(2, tbflow.Submit{Job: singleStepJob, Host: "h", Path: "/p/a"})
 	s.Apply(3, tbflow.Assign{Assignments: []tbflow.Assignment{{Ref: tbflow.TaskRef{Job: "a", Index: 1}, Run: 1, Worker: "w", Incarnation: 9}}})
+	s.Apply(4, tbflow.RecordListed{Worker: "w", Incarnation: 9, Runs: []tbflow.RunRef{{Ref: tbflow.TaskRef{Job: "a", Index: 1}, Run: 1}}})
 	decoded, err := DecodeState(EncodeState(s))
 	qt.Assert(t, err, qt.IsNil)
-	qt.Check(t, decoded.Jobs, qt.DeepEquals, s.Jobs)
+	qt.Check(t, decoded.IsListed(tbflow.TaskRef{Job: "a", Index: 1}, 1), qt.IsTrue)
+	// qt.DeepEquals cannot compare unexported fields.
+	qt.Check(t, reflect.DeepEqual(decoded.Jobs, s.Jobs), qt.IsTrue)
 	qt.Check(t, decoded.Workers, qt.DeepEquals, s.Workers)
 	qt.Check(t, decoded.Usage("w"), qt.Equals, s.Usage("w"))
 	qt.Check(t, decoded.RunCount("w"), qt.Equals, 1)
 	qt.Check(t, decoded.Active(), qt.HasLen, 1)
 }
 
+// Snapshots of earlier versions lack the last field of storedState.
+func TestStateOfEarlierVersionIsDecoded(t *testing.T) {
+	earlier := struct {
+		NowMs        int64
+		Config       tbflow.Config
+		Jobs         []*tbflow.Job
+		Workers      map[string]*tbflow.WorkerRecord
+		NextSeq      uint64
+		Interference []tbflow.Interference
+	}{NowMs: 7, NextSeq: 3, Workers: map[string]*tbflow.WorkerRecord{"w": {Incarnation: 9}}}
+	decoded, err := DecodeState(encode(earlier))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, decoded.NowMs, qt.Equals, int64(7))
+	qt.Check(t, decoded.NextSeq, qt.Equals, uint64(3))
+	qt.Check(t, decoded.Workers["w"].Incarnation, qt.Equals, int64(9))
+	qt.Check(t, decoded.Listed, qt.HasLen, 0)
+}
+
 func TestInvalidBytesReturnErrors(t *testing.T) {
 	// 0xc1 is not used in msgpack. 0x91 starts an array of one element, and the element is missing.
 	for _, data := range [][]byte{nil, {200}, {0, 0xc1}, {1, 0x91}} {
