tbassign: consider a bounded number of workers in a plan

Cause: on 1,800 workers, full plans left every 360 ms with at most 256 runs, because interval and limit followed the size of the fleet, and a plan looked at each worker several times.

Change: a plan considers at most 512 workers of each class, the next plan those behind them. Whether long-running tasks tolerate a best-effort task is checked for the best workers only. The interval is constant (15 ms, or 5 ms after a plan that reached its limit) but for costly backlogs, and the limit is the number of starts that may still become unanswered. Memory is reused between plans. Tasks that a plan places on a worker now always count in its margins there; they were left out if no harmful image had been compared with the worker before. The reference computation of the tests counts them as well.

--- a/core/tbassign/admit.go
+++ b/core/tbassign/admit.go
@@ -59,7 +59,7 @@
 func backlog(s *tbflow.State, l *Learner, class string, bestEffort bool) float64 {
 	sum := 0.0
 	for _, j := range s.Active() {
-		if j.WorkerClass != class {
+		if j.WorkerClass != class || !j.HasWaitingTasks() {
 			continue
 		}
 		for k := range j.Tasks {
--- a/core/tbassign/learner.go
+++ b/core/tbassign/learner.go
@@ -10,7 +10,8 @@
 const runTimeWeight = 0.05
 
 // Learner keeps what a leader learns from polls and ended runs: how long tasks really run and how
-// images slow each other down. It also holds the cache of workloads for Plan.
+// images slow each other down. It also holds the cache of workloads and the memory that Plan
+// reuses.
 type Learner struct {
 	// runTimeRatios holds, for each queue, the moving average of run time divided by estimate. The
 	// ratio of a queue without an entry is taken as 1.
@@ -27,6 +28,7 @@
 	// newest poll that ObservePoll did not ignore.
 	speedChangedWorkers map[string]bool
 	workloads           workloadCache
+	planBuffers         planBuffers
 }
 
 // NewLearner returns a learner without observations. Until run times are observed, it takes the
--- a/core/tbassign/overload.go
+++ b/core/tbassign/overload.go
@@ -24,10 +24,10 @@
 
 // markPostponed marks the best-effort steps whose jobs would make other jobs late. capacity returns
 // the processors that best-effort work of an image can use.
-func markPostponed(nowMs int64, steps []waitingStep, capacity func(classImage) float64) {
+func markPostponed(nowMs int64, steps []*waitingStep, capacity func(classImage) float64) {
 	byImage := map[classImage][]*waitingStep{}
-	for i := range steps {
-		if w := &steps[i]; w.step.BestEffort && w.lateness == onTime {
+	for _, w := range steps {
+		if w.step.BestEffort && w.lateness == onTime {
 			key := classImage{w.job.WorkerClass, w.step.Image}
 			byImage[key] = append(byImage[key], w)
 		}
@@ -57,7 +57,7 @@
 
 // bestEffortCapacity returns the processors that best-effort work of an image can use. They are the
 // sum of two parts: what the assigned tasks of the image request, and what is unused on the workers
-// where the image is harmless.
+// where the image is harmless. The sum over the considered workers is scaled to the whole fleet.
 func (p *planState) bestEffortCapacity(key classImage) float64 {
 	sum := p.assignedMillicores[key]
 	bestEffort := p.images.internBestEffort(key.image)
@@ -66,5 +66,5 @@
 			sum += r.unusedMillicores
 		}
 	}
-	return float64(sum) / 1000
+	return float64(sum) / 1000 / p.consideredShare
 }
--- a/core/tbassign/overload_test.go
+++ b/core/tbassign/overload_test.go
@@ -64,7 +64,7 @@
 				w[i].lateness = late
 			}
 		}
-		markPostponed(nowMs, w, func(classImage) float64 { return rate / effectiveProcessorShare })
+		markPostponed(nowMs, pointersTo(w), func(classImage) float64 { return rate / effectiveProcessorShare })
 		best := 0
 		for i := range w {
 			if compareWaiting(w[i], w[best]) < 0 {
@@ -86,7 +86,7 @@
 			job: &tbflow.Job{WorkerClass: "c"}, step: &tbflow.Step{BestEffort: true, Image: "x"}, occurrenceWork: 10, deadlineMs: int64(3000 + 1000*i),
 		})
 	}
-	markPostponed(0, jobs, func(classImage) float64 { return 30 / effectiveProcessorShare })
+	markPostponed(0, pointersTo(jobs), func(classImage) float64 { return 30 / effectiveProcessorShare })
 	for _, w := range jobs {
 		qt.Check(t, w.postponed, qt.IsFalse)
 	}
--- a/core/tbassign/place.go
+++ b/core/tbassign/place.go
@@ -45,7 +45,7 @@
 	}
 	var plan []tbflow.Assignment
 	var cs *candidates
-	for _, ref := range w.taskRefs {
+	for _, ref := range w.waitingTasks() {
 		if len(plan) >= limit {
 			break
 		}
@@ -56,11 +56,11 @@
 		}
 		if r == nil {
 			if cs == nil {
-				if cs = p.scoreWorkers(w); cs.isEmpty() {
-					p.markUnplaceable(w)
-				}
+				cs = p.scoreWorkers(w)
+			}
+			if r = cs.choose(t); r == nil && cs.isEmpty() {
+				p.markUnplaceable(w)
 			}
-			r = cs.choose(t)
 		}
 		if r == nil {
 			// The tasks of a step differ only in the worker that they avoid. If this task avoids
@@ -131,7 +131,7 @@
 // placeGang assigns all tasks of a gang, or none. All of them get the same run number.
 func (p *planState) placeGang(w *waitingStep, limit int) []tbflow.Assignment {
 	tasks := w.job.Tasks[w.occurrence][w.stepIndex]
-	if len(w.taskRefs) < len(tasks) || len(w.taskRefs) > limit {
+	if len(w.waitingTasks()) < len(tasks) || len(w.waitingTasks()) > limit {
 		return nil
 	}
 	run := uint64(0)
@@ -141,7 +141,7 @@
 	var plan []tbflow.Assignment
 	var assignedWorkers []*workerState
 	cs := p.scoreWorkers(w)
-	for _, ref := range w.taskRefs {
+	for _, ref := range w.waitingTasks() {
 		r := cs.choose(w.job.Task(ref))
 		if r == nil {
 			for _, r := range assignedWorkers {
@@ -157,8 +157,8 @@
 	return plan
 }
 
-// candidates holds the scores of all workers of a class for one step. When capacity on a worker is
-// assigned or released, the worker is scored again.
+// candidates holds the scores of the considered workers of a class for one step. When capacity on a
+// worker is assigned or released, the worker is scored again.
 type candidates struct {
 	planState *planState
 	step      *waitingStep
@@ -167,16 +167,23 @@
 	// usesHeadroom is true for the workers on which a long-running task would use the headroom for
 	// short tasks.
 	usesHeadroom []bool
+	// unverified is true for the workers of a best-effort step whose long-running tasks may not
+	// tolerate another task. The check is costly and is therefore made only for the best workers.
+	unverified []bool
+	// scoredWorkers counts the calls of rescore.
+	scoredWorkers int
+	buffers       *planBuffers
 }
 
 // infeasibleScore is the score of a worker that cannot take a task of the step.
 var infeasibleScore = math.Inf(-1)
 
 func (p *planState) scoreWorkers(w *waitingStep) *candidates {
-	c := &p.candidates
+	c, b := &p.candidates, p.candidates.buffers
 	c.planState, c.step, c.workers = p, w, p.workersByClass[w.job.WorkerClass]
-	c.scores = slices.Grow(c.scores[:0], len(c.workers))[:len(c.workers)]
-	c.usesHeadroom = slices.Grow(c.usesHeadroom[:0], len(c.workers))[:len(c.workers)]
+	n := len(c.workers)
+	b.scores, b.usesHeadroom, b.unverified = slices.Grow(b.scores[:0], n), slices.Grow(b.usesHeadroom[:0], n), slices.Grow(b.unverified[:0], n)
+	c.scores, c.usesHeadroom, c.unverified = b.scores[:n], b.usesHeadroom[:n], b.unverified[:n]
 	for _, r := range c.workers {
 		c.rescore(r)
 	}
@@ -189,19 +196,52 @@
 }
 
 func (c *candidates) rescore(r *workerState) {
+	c.scoredWorkers++
 	c.scores[r.classIndex], c.usesHeadroom[r.classIndex] = infeasibleScore, false
-	if c.planState.canPlace(r, c.step) {
+	c.unverified[r.classIndex] = c.step.step.BestEffort
+	if c.planState.hasRoom(r, c.step) {
 		c.scores[r.classIndex] = c.planState.score(r, c.step)
 		c.usesHeadroom[r.classIndex] = c.step.step.LongRunning && !keepsHeadroom(r.free, c.step.step, r.worker)
 	}
 }
 
+// maxSeparateChecks is how many of the best workers choose checks one after the other. If none of
+// them tolerates the task, it checks all workers, because probably few of them do.
+const maxSeparateChecks = 4
+
 // choose returns the best worker for a task, or nil if the task cannot be placed now.
+func (c *candidates) choose(t *tbflow.Task) *workerState {
+	for range maxSeparateChecks {
+		r := c.bestScored(t)
+		if r == nil || c.verify(r) {
+			return r
+		}
+	}
+	for _, r := range c.workers {
+		if c.scores[r.classIndex] != infeasibleScore {
+			c.verify(r)
+		}
+	}
+	return c.bestScored(t)
+}
+
+// verify reports whether a worker tolerates a task of the step. If not, its score becomes
+// infeasibleScore.
+func (c *candidates) verify(r *workerState) bool {
+	if c.unverified[r.classIndex] && !c.planState.tolerates(r, c.step) {
+		c.scores[r.classIndex] = infeasibleScore
+		return false
+	}
+	c.unverified[r.classIndex] = false
+	return true
+}
+
+// bestScored returns the worker with the highest score, or nil if the task cannot be placed now.
 //
 // A long-running task may have to use the headroom for short tasks on every worker that it fits
 // on. It may do so if it has waited for longer than headroomWaitMs and at least two workers fit.
 // The headroom of the other worker then stays free.
-func (c *candidates) choose(t *tbflow.Task) *workerState {
+func (c *candidates) bestScored(t *tbflow.Task) *workerState {
 	bestIndex, bestUsingHeadroom := -1, -1
 	headroomCount := 0
 	for i, score := range c.scores {
@@ -233,15 +273,18 @@
 
 // canPlace reports whether a worker can take one more task of a step.
 func (p *planState) canPlace(r *workerState, w *waitingStep) bool {
+	return p.hasRoom(r, w) && (!w.step.BestEffort || p.tolerates(r, w))
+}
+
+// hasRoom is canPlace without the check whether the long-running tasks of the worker tolerate a
+// best-effort task.
+func (p *planState) hasRoom(r *workerState, w *waitingStep) bool {
 	need := w.step.Need
 	if w.step.BestEffort {
 		need.MilliProcessors = 0
 		if int64(float64(w.step.Need.MilliProcessors)*bestEffortRequestFactor) > r.unusedMillicores {
 			return false
 		}
-		if !p.tolerates(r, w) {
-			return false
-		}
 	}
 	return need.Fits(r.free) && satisfiesConstraints(w.step, r.worker, r.spreadCounts[w.stepRef()])
 }
--- a/core/tbassign/plan.go
+++ b/core/tbassign/plan.go
@@ -10,13 +10,20 @@
 
 // Plan returns at most limit runs that should start now, in the order of planState.orderForStart.
 func Plan(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer, limit int) []tbflow.Assignment {
+	runs, _ := planAll(now, s, f, l, g, limit)
+	return runs
+}
+
+// planAll returns the runs of Plan and how many times a worker was scored for a step.
+func planAll(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer, limit int) ([]tbflow.Assignment, int) {
 	steps := waitingSteps(s, l)
 	if len(steps) == 0 {
-		return nil
+		return nil, 0
 	}
-	state := newPlanState(now, s, f, l, g)
+	state := newPlanState(now, s, f, l, g, steps)
 	state.addWorkloads()
-	return state.placeAll(state.orderForStart(steps), limit)
+	state.orderForStart(steps)
+	return state.placeAll(steps, limit), state.candidates.scoredWorkers
 }
 
 func (p *planState) placeAll(steps []*waitingStep, limit int) []tbflow.Assignment {
@@ -30,15 +37,18 @@
 	return plan
 }
 
-// planState is the working state of one plan. It holds the usable workers of each class and the
-// capacity that the plan has not assigned yet.
+// planState is the working state of one plan. It holds the usable workers of each class that the
+// plan considers (see addWorkers) and the capacity that the plan has not assigned yet.
 type planState struct {
 	now            time.Time
 	state          *tbflow.State
 	learner        *Learner
 	rebalancer     *Rebalancer
 	workersByClass map[string][]*workerState
-	workersByID    map[string]*workerState
+	// workersByID is nil until workerByID first needs it.
+	workersByID map[string]*workerState
+	// consideredShare is the share of the fleet that the plan considers, from 0 to 1.
+	consideredShare float64
 	// assignedMillicores is the demand of the best-effort tasks that were assigned before this
 	// plan, by class and image, in millicores.
 	assignedMillicores map[classImage]int64
@@ -59,33 +69,31 @@
 // newPlanState returns the usable workers with their free capacity. This is enough to place short
 // steps. Before other steps are placed, addWorkloads must be called, because their placement
 // depends on the workloads.
-func newPlanState(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer) *planState {
+func newPlanState(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer, steps []*waitingStep) *planState {
 	p := &planState{
-		state: s, learner: l, rebalancer: g, now: now, workersByClass: map[string][]*workerState{}, workersByID: make(map[string]*workerState, len(s.Workers)),
-		spreadCountedSteps: map[stepRef]bool{}, unplaceable: map[int]tbresource.Amount{},
-	}
-	workers := f.Workers()
-	states := make([]workerState, 0, len(workers))
-	for _, w := range workers {
-		if !f.Usable(w, now) {
-			continue
-		}
-		use := s.Usage(w.ID)
-		states = append(states, workerState{
-			worker: w, classIndex: len(p.workersByClass[w.Class]), free: w.Capacity.Sub(use.Reserved),
-			unusedMillicores: w.Capacity.MilliProcessors - use.BestEffortMilliProcessors,
-		})
-		r := &states[len(states)-1]
-		p.workersByClass[w.Class] = append(p.workersByClass[w.Class], r)
-		p.workersByID[w.ID] = r
+		state: s, learner: l, rebalancer: g, now: now, workersByClass: map[string][]*workerState{},
+		spreadCountedSteps: map[stepRef]bool{}, unplaceable: map[int]tbresource.Amount{}, candidates: candidates{buffers: &l.planBuffers},
 	}
+	p.addWorkers(f, steps)
 	p.applyReservations()
 	return p
 }
 
-// initialImageCapacity is the number of long-running images for which each worker has space
-// without another allocation.
-const initialImageCapacity = 8
+// workerByID returns a worker that the plan considers, or nil.
+func (p *planState) workerByID(id string) *workerState {
+	if id == "" {
+		return nil
+	}
+	if p.workersByID == nil {
+		p.workersByID = make(map[string]*workerState, maxPlanWorkers)
+		for _, workers := range p.workersByClass {
+			for _, r := range workers {
+				p.workersByID[r.worker.ID] = r
+			}
+		}
+	}
+	return p.workersByID[id]
+}
 
 // addWorkloads adds the long-running images, the expected use and the best-effort demand of the
 // tasks that each worker already has. The placement of long-running and best-effort steps depends
@@ -93,22 +101,30 @@
 func (p *planState) addWorkloads() {
 	p.learner.workloads.resetIfStale(p.state)
 	p.images, p.assignedMillicores = newImageTable(p.learner), map[classImage]int64{}
-	// The slices of all workers share one allocation of each type.
 	n := p.images.learnedImageCount
-	values := make([]float64, 2*n*len(p.workersByID))
-	counts := make([]imageCount, initialImageCapacity*len(p.workersByID))
-	for _, r := range p.workersByID {
-		r.worstSlopes, r.scarcities, values = values[:0:n], values[n:n:2*n], values[2*n:]
-		m := p.learner.workloads.get(r.worker)
-		r.longRunningCounts, counts = append(counts[:0:initialImageCapacity], m.longRunningCounts...), counts[initialImageCapacity:]
-		r.unusedMillicores -= m.expectedMillicores
-		for _, demand := range m.bestEffortDemands {
-			p.assignedMillicores[classImage{r.worker.Class, demand.image}] += demand.milliProcessors
+	values := p.learner.planBuffers.takeValues(n * p.workerCount())
+	for class, workers := range p.workersByClass {
+		for _, r := range workers {
+			r.worstSlopes, values = values[:0:n], values[n:]
+			m := p.learner.workloads.get(r.worker)
+			r.longRunningCounts = append(r.longRunningCounts[:0], m.longRunningCounts...)
+			r.unusedMillicores -= m.expectedMillicores
+			for _, demand := range m.bestEffortDemands {
+				p.assignedMillicores[classImage{class, demand.image}] += demand.milliProcessors
+			}
 		}
 	}
 	p.images.addMissingLongRunning()
 }
 
+func (p *planState) workerCount() int {
+	n := 0
+	for _, workers := range p.workersByClass {
+		n += len(workers)
+	}
+	return n
+}
+
 // countAssignedTasks counts, on each worker, the assigned tasks of a step with a spread limit.
 func (p *planState) countAssignedTasks(w *waitingStep) {
 	ref := w.stepRef()
@@ -118,7 +134,10 @@
 	p.spreadCountedSteps[ref] = true
 	for i := range w.job.Tasks[w.occurrence][w.stepIndex] {
 		t := &w.job.Tasks[w.occurrence][w.stepIndex][i]
-		if r := p.workersByID[t.Worker]; r != nil && t.Phase == tbflow.TaskAssigned {
+		if t.Phase != tbflow.TaskAssigned {
+			continue
+		}
+		if r := p.workerByID(t.Worker); r != nil {
 			r.addSpreadCount(ref, 1)
 		}
 	}
@@ -129,7 +148,7 @@
 func (p *planState) applyReservations() {
 	for ref := range p.rebalancer.reservations {
 		t := p.activeTask(ref)
-		r := p.workersByID[p.rebalancer.reservedWorker(p.now, p.state, ref)]
+		r := p.workerByID(p.rebalancer.reservedWorker(p.now, p.state, ref))
 		if r != nil && t != nil && (t.Phase == tbflow.TaskWaiting || t.Worker != r.worker.ID) {
 			r.applyReservation(p.state, ref, 1)
 		}
--- a/core/tbassign/plan_bench_test.go
+++ b/core/tbassign/plan_bench_test.go
@@ -82,6 +82,9 @@
 		}
 	}
 	b.commit(tbflow.Assign{Assignments: runs})
+	for _, run := range runs {
+		b.answerStart(run)
+	}
 	b.now = b.now.Add(5 * time.Second)
 	b.state.Apply(b.now.UnixMilli(), tbflow.PutConfig{})
 	b.pollAll(rng)
@@ -95,6 +98,13 @@
 	b.fleet.HandleApplied(b.now, b.state, c)
 }
 
+// answerStart tells the fleet that the worker has accepted the start of a run.
+func (b *fixture) answerStart(run tbflow.Assignment) {
+	b.fleet.HandleStartAnswered(b.now, tbfleet.StartAnswered{
+		Worker: run.Worker, Incarnation: run.Incarnation, Ref: run.Ref, Run: run.Run, Outcome: tbfleet.Accepted, ClockMs: 1,
+	})
+}
+
 func (b *fixture) pollAll(rng *rand.Rand) {
 	for _, w := range b.fleet.Workers() {
 		// The runs of a worker are visited in random order. If each measurement were drawn from
@@ -147,7 +157,7 @@
 	}
 }
 
-var fleetSizes = []int{40, 100, 350, 490, 1100}
+var fleetSizes = []int{40, 350, 1100, 1800, 5000}
 
 // BenchmarkPlan measures a full plan on a loaded fleet.
 func BenchmarkPlan(b *testing.B) {
--- a/core/tbassign/planner.go
+++ b/core/tbassign/planner.go
@@ -18,21 +18,29 @@
 // capacity alone, as soon as they may start. All other steps wait for a full plan. Full plans are
 // made at intervals and have a limited number of runs. Best-effort work loses almost nothing if it
 // starts some hundredths of a second later.
+//
+// How many runs the leader can order in a second depends on its processor, on the workers and on
+// what else the leader has to do. Unanswered starts show that: while the leader keeps up, they are
+// answered within milliseconds. The limit of a full plan is therefore the number of starts that may
+// still become unanswered. Neither the limit nor the interval depends on the size of the fleet.
 
 // Bounds of plans. A full plan is one that considers all steps.
 const (
-	// maxRunsPerPlan is the largest number of runs of any plan.
+	// maxRunsPerPlan is the largest number of runs of a plan of short steps.
 	maxRunsPerPlan = 256
-	// The limit of the runs of a full plan is fullPlanRunsPerWorker times the number of workers,
-	// but at least minFullPlanRuns and at most maxRunsPerPlan. Without this limit, short steps
-	// would wait for too long while the runs of a full plan are ordered.
-	minFullPlanRuns       = 64
-	fullPlanRunsPerWorker = 0.25
-	// The time between two full plans is fullPlanIntervalPerWorker times the number of workers,
-	// but at least minFullPlanInterval. Full plans take longer on larger fleets; this way, they
-	// take about the same share of the leader's time on a fleet of any size.
-	minFullPlanInterval       = 15 * time.Millisecond
-	fullPlanIntervalPerWorker = 200 * time.Microsecond
+	// maxUnansweredStarts is the number of unanswered starts at which the limit of a full plan is
+	// minFullPlanRuns. Workers that do not answer also leave starts unanswered, so the limit must
+	// not become 0.
+	maxUnansweredStarts = 96
+	minFullPlanRuns     = 32
+	// The next full plan is made after fullPlanInterval, or after fullPlanIntervalAtLimit if the
+	// last one has reached its limit.
+	fullPlanInterval        = 15 * time.Millisecond
+	fullPlanIntervalAtLimit = 5 * time.Millisecond
+	// A long backlog that fits nowhere makes plans costly. The interval is therefore at least
+	// fullPlanIntervalPerScore times the number of workers that the last plan has scored, so that
+	// plans take only a small share of the leader's time.
+	fullPlanIntervalPerScore = 200 * time.Nanosecond
 )
 
 // Planner makes full plans at intervals and plans of short steps in between. The first plan of the
@@ -50,10 +58,14 @@
 	if now.Before(p.nextFullPlanAt) {
 		return PlanShortSteps(now, s, f, l, g, maxRunsPerPlan), false
 	}
-	workers := len(s.Workers)
-	p.nextFullPlanAt = now.Add(max(minFullPlanInterval, time.Duration(workers)*fullPlanIntervalPerWorker))
-	runs := min(maxRunsPerPlan, max(minFullPlanRuns, int(fullPlanRunsPerWorker*float64(workers))))
-	return Plan(now, s, f, l, g, runs), true
+	limit := max(minFullPlanRuns, maxUnansweredStarts-f.UnansweredStarts())
+	runs, scoredWorkers := planAll(now, s, f, l, g, limit)
+	interval := fullPlanInterval
+	if len(runs) >= limit {
+		interval = fullPlanIntervalAtLimit
+	}
+	p.nextFullPlanAt = now.Add(max(interval, time.Duration(scoredWorkers)*fullPlanIntervalPerScore))
+	return runs, true
 }
 
 // PlanShortSteps returns at most limit runs of short steps that should start now. A full plan
@@ -64,7 +76,7 @@
 	if len(steps) == 0 {
 		return nil
 	}
-	return newPlanState(now, s, f, l, g).placeAll(steps, limit)
+	return newPlanState(now, s, f, l, g, steps).placeAll(steps, limit)
 }
 
 // isShort reports whether a step is neither best-effort nor long-running.
@@ -91,7 +103,7 @@
 	// a lower priority; lowestPriority is the highest number of the selected steps.
 	lowestPriority, cutoff := math.MinInt, math.MaxInt
 	for _, j := range s.Active() {
-		if !hasShortStep(j) {
+		if !j.HasWaitingTasks() || !hasShortStep(j) {
 			continue
 		}
 		for k := range j.Tasks {
@@ -102,7 +114,7 @@
 				switch {
 				case !isShort(w.step):
 				case w.lateness == onTime:
-					steps = append(steps, &w)
+					steps = append(steps, w)
 					lowestPriority = max(lowestPriority, j.Priority)
 				default:
 					cutoff = min(cutoff, j.Priority+1)
@@ -123,7 +135,7 @@
 func longRunningCutoff(s *tbflow.State, lowestPriority int) int {
 	priorityCutoff := math.MaxInt
 	for _, j := range s.Active() {
-		if j.Priority > lowestPriority || j.Priority >= priorityCutoff {
+		if !j.HasWaitingTasks() || j.Priority > lowestPriority || j.Priority >= priorityCutoff {
 			continue
 		}
 		for k := range j.Tasks {
@@ -145,7 +157,7 @@
 // and whether one of these tasks is overdue.
 func hasWaitingLongRunning(nowMs int64, j *tbflow.Job, k int) (anyWaiting, anyOverdue bool) {
 	for i := range j.Steps {
-		if !j.Steps[i].LongRunning || !j.StepReady(k, i) {
+		if !j.Steps[i].LongRunning || j.WaitingTasks(k, i) == 0 || !j.StepReady(k, i) {
 			continue
 		}
 		for n := range j.Tasks[k][i] {
--- a/core/tbassign/planner_test.go
+++ b/core/tbassign/planner_test.go
@@ -21,6 +21,7 @@
 )
 
 // leaderSimulator simulates a leader that handles no events while it makes a plan or orders runs.
+// Starts are answered before the next plan.
 type leaderSimulator struct {
 	*fixture
 	rng      *rand.Rand
@@ -118,6 +119,7 @@
 		}
 		for _, run := range runs {
 			r.now = r.now.Add(orderDuration)
+			r.answerStart(run)
 			step := r.state.StepOf(run.Ref)
 			r.scheduleEnd(run, step.Estimate)
 			if isShort(step) {
--- a/core/tbassign/rebalance.go
+++ b/core/tbassign/rebalance.go
@@ -114,6 +114,9 @@
 func bestEffortBacklog(s *tbflow.State, l *Learner) map[string]map[string]float64 {
 	backlog := map[string]map[string]float64{}
 	for _, j := range s.Active() {
+		if !j.HasWaitingTasks() {
+			continue
+		}
 		for k := range j.Tasks {
 			for i := range j.Steps {
 				step := &j.Steps[i]
--- a/core/tbassign/reference_test.go
+++ b/core/tbassign/reference_test.go
@@ -53,8 +53,8 @@
 	unusedMillicores int64
 	// longRunningCounts holds the number of long-running tasks of each image.
 	longRunningCounts map[string]int
-	// colocated holds the best-effort and long-running tasks on the worker. It is nil until it is
-	// first needed.
+	// colocated holds the best-effort and long-running tasks on the worker, including the
+	// best-effort tasks that the plan has placed there.
 	colocated *colocatedTasks
 	// spreadCounts holds the number of tasks on the worker for each step with a spread limit.
 	spreadCounts map[stepRef]int
@@ -72,6 +72,7 @@
 		}
 		use := s.Usage(w.ID)
 		r := &referenceWorker{worker: w, free: w.Capacity.Sub(use.Reserved), longRunningCounts: map[string]int{}}
+		r.colocated = l.colocatedTasksOf(s, w, func(run *tbfleet.Run) bool { return run.Phase != tbfleet.RunEnding })
 		r.unusedMillicores = w.Capacity.MilliProcessors - use.BestEffortMilliProcessors
 		s.EachRun(w.ID, func(ref tbflow.TaskRef, _ *tbflow.Task) {
 			step := s.StepOf(ref)
@@ -359,7 +360,7 @@
 	need := w.step.Need
 	if w.step.BestEffort {
 		r.unusedMillicores -= int64(sign) * need.MilliProcessors
-		if r.colocated != nil && sign > 0 {
+		if sign > 0 {
 			r.colocated.addBestEffort(w.step, r.worker)
 		}
 		need.MilliProcessors = 0
@@ -395,7 +396,7 @@
 			all = append(all, referenceWaitingSteps(s, l, j, k)...)
 		}
 	}
-	markPostponed(s.NowMs, all, p.bestEffortCapacity)
+	markPostponed(s.NowMs, pointersTo(all), p.bestEffortCapacity)
 	slices.SortStableFunc(all, compareWaiting)
 	return all
 }
@@ -406,9 +407,6 @@
 	if p.learner.worstSlope(r.longRunningCounts, step.Image) > harmlessSlope {
 		return true
 	}
-	if r.colocated == nil {
-		r.colocated = p.learner.colocatedTasksOf(p.state, r.worker, func(run *tbfleet.Run) bool { return run.Phase != tbfleet.RunEnding })
-	}
 	addedShare := processorShare(step.Need.MilliProcessors, r.worker)
 	for _, t := range r.colocated.latencyTasks {
 		if r.colocated.expectedMargin(t)+r.colocated.slope(t, step.Image)*addedShare < minStartMargin {
--- a/core/tbassign/reference_waiting_test.go
+++ b/core/tbassign/reference_waiting_test.go
@@ -75,3 +75,11 @@
 	workPerTask := float64(j.Steps[i].Need.MilliProcessors) / 1000 * l.RunTime(j, &j.Steps[i]).Seconds()
 	return workPerTask * float64(waiting)
 }
+
+func pointersTo(steps []waitingStep) []*waitingStep {
+	all := make([]*waitingStep, len(steps))
+	for i := range steps {
+		all[i] = &steps[i]
+	}
+	return all
+}
--- a/core/tbassign/waiting.go
+++ b/core/tbassign/waiting.go
@@ -12,13 +12,15 @@
 // objectives. Long-running tasks have to run all the time. Queues of higher priority (lower number)
 // go first. Within a priority, steps are ordered by their rank (see rank).
 
-// waitingStep is a step that may start, with its waiting tasks.
+// waitingStep is a step that may start and has waiting tasks.
 type waitingStep struct {
 	job        *tbflow.Job
 	step       *tbflow.Step
 	occurrence int
 	stepIndex  int
-	taskRefs   []tbflow.TaskRef
+	// taskRefs holds the waiting tasks. It is nil until waitingTasks is first called, because most
+	// steps in a long backlog are not reached by a plan.
+	taskRefs []tbflow.TaskRef
 	// imageIndex is the index of a best-effort step's image in the imageTable. It is set by
 	// orderForStart and is meaningless for other steps.
 	imageIndex int
@@ -60,10 +62,26 @@
 
 func (w *waitingStep) stepRef() stepRef { return stepRef{w.job.ID, w.occurrence, w.stepIndex} }
 
+// waitingTasks returns the waiting tasks of the step.
+func (w *waitingStep) waitingTasks() []tbflow.TaskRef {
+	if w.taskRefs == nil {
+		w.taskRefs = make([]tbflow.TaskRef, 0, w.job.WaitingTasks(w.occurrence, w.stepIndex))
+		for n := range w.job.Tasks[w.occurrence][w.stepIndex] {
+			if w.job.Tasks[w.occurrence][w.stepIndex][n].Phase == tbflow.TaskWaiting {
+				w.taskRefs = append(w.taskRefs, tbflow.TaskRef{Job: w.job.ID, Occurrence: w.occurrence, Step: w.stepIndex, Index: n})
+			}
+		}
+	}
+	return w.taskRefs
+}
+
 // waitingSteps returns all steps that may start now.
-func waitingSteps(s *tbflow.State, l *Learner) []waitingStep {
-	var all []waitingStep
+func waitingSteps(s *tbflow.State, l *Learner) []*waitingStep {
+	var all []*waitingStep
 	for _, j := range s.Active() {
+		if !j.HasWaitingTasks() {
+			continue
+		}
 		for k := range j.Tasks {
 			if j.DueMs(k) > s.NowMs {
 				continue
@@ -75,45 +93,35 @@
 }
 
 // orderForStart marks the best-effort steps to postpone, sets the image indexes of best-effort
-// steps, and returns all steps in the order in which they should start.
-func (p *planState) orderForStart(all []waitingStep) []*waitingStep {
+// steps, and sorts all steps by the order in which they should start.
+func (p *planState) orderForStart(all []*waitingStep) {
 	markPostponed(p.state.NowMs, all, p.bestEffortCapacity)
-	ordered := make([]*waitingStep, len(all))
-	for i := range all {
-		ordered[i] = &all[i]
-		if all[i].step.BestEffort {
-			all[i].imageIndex = p.images.internBestEffort(all[i].step.Image)
+	for _, w := range all {
+		if w.step.BestEffort {
+			w.imageIndex = p.images.internBestEffort(w.step.Image)
 		}
 	}
-	slices.SortStableFunc(ordered, func(a, b *waitingStep) int { return compareWaiting(*a, *b) })
-	return ordered
+	slices.SortStableFunc(all, func(a, b *waitingStep) int { return compareWaiting(*a, *b) })
 }
 
-func waitingStepsOf(s *tbflow.State, l *Learner, j *tbflow.Job, k int) []waitingStep {
+func waitingStepsOf(s *tbflow.State, l *Learner, j *tbflow.Job, k int) []*waitingStep {
 	return appendWaiting(nil, s, l, j, k)
 }
 
 // appendWaiting appends the waiting steps of one occurrence of a job.
-func appendWaiting(all []waitingStep, s *tbflow.State, l *Learner, j *tbflow.Job, k int) []waitingStep {
+func appendWaiting(all []*waitingStep, s *tbflow.State, l *Learner, j *tbflow.Job, k int) []*waitingStep {
 	var remainingByStep []time.Duration
 	var longestPath time.Duration
 	var work float64
 	for i := range j.Steps {
-		waitingCount := countWaitingTasks(j, k, i)
-		if waitingCount == 0 || !j.StepReady(k, i) {
+		if j.WaitingTasks(k, i) == 0 || !j.StepReady(k, i) {
 			continue
 		}
 		if remainingByStep == nil {
 			remainingByStep, longestPath = remainingTimes(j, l)
 			work = sumOccurrenceWork(j, l, k)
 		}
-		refs := make([]tbflow.TaskRef, 0, waitingCount)
-		for n := range j.Tasks[k][i] {
-			if j.Tasks[k][i][n].Phase == tbflow.TaskWaiting {
-				refs = append(refs, tbflow.TaskRef{Job: j.ID, Occurrence: k, Step: i, Index: n})
-			}
-		}
-		w := waitingStep{job: j, step: &j.Steps[i], occurrence: k, stepIndex: i, taskRefs: refs, occurrenceWork: work}
+		w := &waitingStep{job: j, step: &j.Steps[i], occurrence: k, stepIndex: i, occurrenceWork: work}
 		objectiveMs := int64(j.Slack*float64(longestPath.Milliseconds())) + j.Target.Milliseconds()
 		remainingMs := remainingByStep[i].Milliseconds()
 		// The critical path may start at another step and be longer than the path from the first
@@ -123,7 +131,7 @@
 		}
 		w.deadlineMs = j.DueMs(k) + objectiveMs
 		w.latestStartMs = w.deadlineMs - remainingMs
-		w.hasOverdueTask = w.step.LongRunning && hasOverdueTask(s.NowMs, j, refs)
+		w.hasOverdueTask = w.step.LongRunning && hasOverdueTask(s.NowMs, j, w.waitingTasks())
 		if w.latestStartMs < s.NowMs && !w.step.LongRunning {
 			w.lateness = late
 			w.latestStartMs = j.DueMs(k) + usefulFactor*objectiveMs - remainingMs
@@ -183,18 +191,7 @@
 // sumWaitingWork returns the work of the waiting tasks of one step, in processor seconds.
 func sumWaitingWork(j *tbflow.Job, l *Learner, k, i int) float64 {
 	workPerTask := float64(j.Steps[i].Need.MilliProcessors) / 1000 * l.RunTime(j, &j.Steps[i]).Seconds()
-	return workPerTask * float64(countWaitingTasks(j, k, i))
-}
-
-// countWaitingTasks counts the waiting tasks of one step.
-func countWaitingTasks(j *tbflow.Job, k, i int) int {
-	waitingCount := 0
-	for n := range j.Tasks[k][i] {
-		if j.Tasks[k][i][n].Phase == tbflow.TaskWaiting {
-			waitingCount++
-		}
-	}
-	return waitingCount
+	return workPerTask * float64(j.WaitingTasks(k, i))
 }
 
 func compareWaiting(a, b waitingStep) int {
--- a/core/tbassign/worker_state.go
+++ b/core/tbassign/worker_state.go
@@ -26,13 +26,18 @@
 	// needed.
 	colocated *colocatedTasks
 	margins   []taskMargin
+	// plannedBestEffort holds the step of each best-effort task that the plan has placed on the
+	// worker.
+	plannedBestEffort []*tbflow.Step
 	// spreadCounts holds the number of tasks on the worker for each step with a spread limit.
 	spreadCounts map[stepRef]int
 
-	// worstSlopes and scarcities cache results by best-effort image. Both are emptied when the set
-	// of long-running images on the worker changes. A scarcity is NaN until it is first needed.
+	// worstSlopes and harmlessSum cache results. Both are dropped when the set of long-running
+	// images on the worker changes. worstSlopes is indexed by best-effort image. harmlessSum is the
+	// sum of the harmful shares of the images that are harmless on this worker. It is NaN until it
+	// is first needed.
 	worstSlopes []float64
-	scarcities  []float64
+	harmlessSum float64
 }
 
 // imageCount is the number of tasks of one long-running image.
@@ -91,7 +96,7 @@
 	imagesBefore := len(r.longRunningCounts)
 	r.longRunningCounts = adjustImageCount(r.longRunningCounts, imageIndex, n)
 	if len(r.longRunningCounts) != imagesBefore {
-		r.worstSlopes, r.scarcities = r.worstSlopes[:0], r.scarcities[:0]
+		r.worstSlopes, r.harmlessSum = r.worstSlopes[:0], math.NaN()
 	}
 }
 
@@ -125,10 +130,7 @@
 	need := w.step.Need
 	if w.step.BestEffort {
 		r.unusedMillicores -= int64(sign) * need.MilliProcessors
-		if r.colocated != nil && sign > 0 {
-			r.colocated.addBestEffort(w.step, r.worker)
-			p.computeMargins(r)
-		}
+		p.adjustBestEffort(r, w.step, sign)
 		need.MilliProcessors = 0
 	} else {
 		p.adjustExpectedUse(r, w.step, sign)
@@ -136,6 +138,21 @@
 	r.adjustFree(w.step, w.stepRef(), need, sign)
 }
 
+// adjustBestEffort records a planned best-effort task. With sign -1, it removes the last recorded one,
+// which has to be of the same step.
+func (p *planState) adjustBestEffort(r *workerState, step *tbflow.Step, sign int) {
+	if sign < 0 {
+		r.plannedBestEffort = r.plannedBestEffort[:len(r.plannedBestEffort)-1]
+		r.colocated = nil
+		return
+	}
+	r.plannedBestEffort = append(r.plannedBestEffort, step)
+	if r.colocated != nil {
+		r.colocated.addBestEffort(step, r.worker)
+		p.computeMargins(r)
+	}
+}
+
 // tolerates reports whether the long-running tasks of a worker keep a sufficient margin beside
 // another best-effort task.
 func (p *planState) tolerates(r *workerState, w *waitingStep) bool {
@@ -144,6 +161,9 @@
 	}
 	if r.colocated == nil {
 		r.colocated = p.learner.colocatedTasksOf(p.state, r.worker, func(run *tbfleet.Run) bool { return run.Phase != tbfleet.RunEnding })
+		for _, step := range r.plannedBestEffort {
+			r.colocated.addBestEffort(step, r.worker)
+		}
 		p.computeMargins(r)
 	}
 	addedShare := processorShare(w.step.Need.MilliProcessors, r.worker)
@@ -166,23 +186,22 @@
 // them that is harmless on this worker adds the share of workers on which it is harmful. The sum
 // is divided by the number of learned images.
 func (p *planState) scarcity(r *workerState, w *waitingStep) float64 {
-	for len(r.scarcities) <= w.imageIndex {
-		r.scarcities = append(r.scarcities, math.NaN())
-	}
-	if cached := r.scarcities[w.imageIndex]; !math.IsNaN(cached) {
-		return cached
-	}
 	if p.harmfulShares == nil {
 		p.harmfulShares = p.computeHarmfulShares(p.workersByClass[w.job.WorkerClass])
 	}
-	sum := 0.0
-	for imageIndex, share := range p.harmfulShares {
-		if imageIndex != w.imageIndex && p.worstSlope(r, imageIndex) > harmlessSlope {
-			sum += share
+	if math.IsNaN(r.harmlessSum) {
+		r.harmlessSum = 0
+		for imageIndex, share := range p.harmfulShares {
+			if p.worstSlope(r, imageIndex) > harmlessSlope {
+				r.harmlessSum += share
+			}
 		}
 	}
-	r.scarcities[w.imageIndex] = sum / float64(max(1, len(p.harmfulShares)))
-	return r.scarcities[w.imageIndex]
+	sum := r.harmlessSum
+	if w.imageIndex < len(p.harmfulShares) && p.worstSlope(r, w.imageIndex) > harmlessSlope {
+		sum -= p.harmfulShares[w.imageIndex]
+	}
+	return sum / float64(max(1, len(p.harmfulShares)))
 }
 
 // computeHarmfulShares returns, for each learned best-effort image, the share of the given workers
