Pass orders to workers through the other replicas under load

Cause: on the large site, the leader's processor binds. Each task costs it two requests to a worker or more, with connection, goroutine and JSON, while the other replicas use 0.06 of their 0.96 cores.

Change: from 800 orders a second on, the leader passes its orders in batches of 2 ms to the other replicas (tbrelay), which send them and return the results. All decisions, tokens, lease expiries and run numbers stay with the leader, so a relay is to the fleet what the network is: it may delay or lose an order. The delay is bounded on the relay's own clock, suspension included; an order that is too old is not sent and its result says so (NotSent). The same bound holds for an order that the leader sends itself: a leader suspended between the decision and the sending sent it before. A lost relay leaves its orders unconfirmed at once; orders that surely did not reach it are sent by the leader. The policy relay (byLoad, always, never) is for measurements and tests.

--- a/core/tbfleet/network_fake_test.go
+++ b/core/tbfleet/network_fake_test.go
@@ -39,6 +39,8 @@
 	// notSentRate is the fraction of orders to a disconnected worker that are not sent, because no
 	// connection is established.
 	notSentRate = 0.3
+	// expiredRate is the fraction of orders that a suspended relay gives up without sending them.
+	expiredRate = 0.01
 	// slowAnswerRate is the fraction of answers and sign-offs that are slow. They take up to
 	// maxAnswerDelay.
 	slowAnswerRate = 0.1
@@ -50,6 +52,10 @@
 	target, wait, timeout := orderTarget(c)
 	sentAt := sim.now
 	delay := sim.oneWayDelay(0)
+	if sim.relayRNG != nil && sim.injectsFaults && sim.relayRNG.Float64() < expiredRate {
+		sim.schedule(sim.oneWayDelay(maxAnswerDelay), func() { sim.deliverAnswer(l, sentAt, c, failedAnswer(c, tbfleet.NotSent)) })
+		return
+	}
 	late := sim.injectsFaults && sim.rng.Float64() < sim.lateRate()
 	answerLost := late || sim.injectsFaults && sim.rng.Float64() < lostAnswerRate
 	if late {
--- a/core/tbfleet/schedule_test.go
+++ b/core/tbfleet/schedule_test.go
@@ -59,8 +59,10 @@
 
 // simulation simulates the leaders of successive terms, their workers and the network between them.
 type simulation struct {
-	t                *testing.T
-	rng              *rand.Rand
+	t   *testing.T
+	rng *rand.Rand
+	// relayRNG draws the orders that are not sent. It is nil if all orders are sent.
+	relayRNG         *rand.Rand
 	now              time.Time
 	state            *tbflow.State
 	leader           *leader
@@ -213,10 +215,22 @@
 // makes it done or failed has been acknowledged. After the faults, every worker accepts tasks and
 // all jobs finish.
 func TestSchedules(t *testing.T) {
+	runSchedules(t, func(*simulation, uint64) {})
+}
+
+// TestSchedulesWithExpiredOrders adds orders that a suspended leader or relay gives up without
+// sending them.
+func TestSchedulesWithExpiredOrders(t *testing.T) {
+	runSchedules(t, func(sim *simulation, seed uint64) { sim.relayRNG = rand.New(rand.NewPCG(seed, 2)) })
+}
+
+// runSchedules runs the schedules that the flags select. prepare changes each simulation first.
+func runSchedules(t *testing.T, prepare func(sim *simulation, seed uint64)) {
 	for i := range *schedulesFlag {
 		seed := *seedFlag + uint64(i)
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			sim := newSimulation(t, seed)
+			prepare(sim, seed)
 			sim.submit("long-running0", 3, true)
 			sim.submit("long-running1", 2, true)
 			for n := range 8 {
--- a/io/tbdaemon/adapter.go
+++ b/io/tbdaemon/adapter.go
@@ -3,11 +3,8 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
-	"tamarackbarrow/core/tbcontrol"
 	"tamarackbarrow/core/tbfleet"
-	"tamarackbarrow/core/tbnode"
 )
 
 // WorkerTransport sends orders to the workers of an external platform. Each call blocks until the
@@ -35,33 +32,3 @@
 
 // Metrics returns the handler that serves counters and latency histograms as JSON.
 func (d *Daemon) Metrics() http.Handler { return d.counters }
-
-// sendOrder sends an order to a worker through the adapter and queues the worker's answer as an
-// event. Without an adapter it does nothing.
-func (d *Daemon) sendOrder(order tbcontrol.SendOrder) {
-	if d.adapter == nil {
-		return
-	}
-	var ev tbcontrol.Event
-	start := time.Now()
-	latencyName := latencyWorkerStart
-	switch o := order.Order.(type) {
-	case tbfleet.Start:
-		ev = tbcontrol.StartAnswered{Answer: d.adapter.Start(d.ctx, o), Term: order.Term}
-	case tbfleet.Stop:
-		latencyName = latencyWorkerStop
-		ev = tbcontrol.StopAnswered{Answer: d.adapter.Stop(d.ctx, o), Term: order.Term}
-	case tbfleet.Poll:
-		sentAt := d.clock.Now()
-		a := d.adapter.Poll(d.ctx, o)
-		// The answer shows the worker's state at some time after sentAt.
-		a.SentAt = sentAt
-		ev = tbcontrol.PollAnswered{Answer: a, Term: order.Term}
-		latencyName = latencyWorkerPoll
-	case tbfleet.SetSpeed:
-		ev = tbcontrol.SpeedAnswered{Answer: d.adapter.SetSpeed(d.ctx, o), Term: order.Term}
-		latencyName = latencyWorkerSpeed
-	}
-	d.counters.histograms.observe(latencyName, time.Since(start))
-	d.queueEvent(tbnode.Event{Control: ev})
-}
--- a/io/tbdaemon/config.go
+++ b/io/tbdaemon/config.go
@@ -80,8 +80,9 @@
 		Share:     tbshare.Policy{BaseWeight: 2, Tolerance: 0.1},
 		Placement: placement,
 		Fleet: tbfleet.Params{
-			// MaxOrderDelay includes the time for which the leader may hold back an order before it sends it.
-			Lease: s.Workers.Lease, MaxLease: s.Workers.MaxLease, MaxOrderDelay: s.Workers.MaxOrderDelay + maxOrderHold(s), ClockRateBound: s.Workers.ClockRateBound,
+			// MaxOrderDelay includes the time for which the leader may hold back an order before it issues
+			// it, and the time until the order is sent.
+			Lease: s.Workers.Lease, MaxLease: s.Workers.MaxLease, MaxOrderDelay: s.Workers.MaxOrderDelay + maxOrderHold(s) + maxSendDelay, ClockRateBound: s.Workers.ClockRateBound,
 			PollWait: s.Workers.PollWait, OrderTimeout: s.Workers.OrderTimeout,
 			SilenceTimeout: s.Workers.SilenceTimeout, PollRetryDelay: workerRetryInterval,
 		},
--- a/io/tbdaemon/daemon.go
+++ b/io/tbdaemon/daemon.go
@@ -58,7 +58,11 @@
 	startedAt   time.Time
 	clock       clock
 	adapter     Adapter
-	directory   directory
+	// orders sends this replica's orders while it leads. results returns the results of orders that
+	// this replica has relayed.
+	orders    *orderSender
+	results   *resultSender
+	directory directory
 	// lastAnswerAt is the wall clock time of the leader's last answer to AskLeader, in nanoseconds
 	// since 1970. It is 0 before the first answer.
 	lastAnswerAt atomic.Int64
@@ -72,7 +76,7 @@
 	folder          *tbstore.Folder
 	counters        *counters
 	traffic         *tbpeer.Traffic
-	// ready, entryControlAddress, queuedCalls and isConfirmedLeader are published for other goroutines
+	// ready, entryControlAddress, queuedCalls, isConfirmedLeader and term are published for other goroutines
 	// after each pass of the event loop. entryControlAddress is the address of the control replica that
 	// gets the entry role's next request. The directory has the leader's address that is known from the
 	// control group.
@@ -80,10 +84,12 @@
 	entryControlAddress atomic.Value
 	queuedCalls         atomic.Int64
 	isConfirmedLeader   atomic.Bool
-	entryStopped        chan struct{}
-	ctx                 context.Context
-	cancel              context.CancelFunc
-	wg                  sync.WaitGroup
+	// term is the newest term that the control role knows.
+	term         atomic.Uint64
+	entryStopped chan struct{}
+	ctx          context.Context
+	cancel       context.CancelFunc
+	wg           sync.WaitGroup
 }
 
 // New opens the data folder, if one is configured, and returns a daemon that is not running yet.
@@ -108,6 +114,7 @@
 	}
 	now := d.clock.Now()
 	d.incarnation = now.UnixNano()
+	d.orders, d.results = newOrderSender(d, relayPolicy(settings.Policies.Relay), uint64(d.incarnation)), newResultSender(d)
 	control, err := d.openControl(now)
 	if err != nil {
 		cancel()
@@ -366,6 +373,7 @@
 	}
 	if c := d.node.Control; c != nil {
 		d.isConfirmedLeader.Store(c.IsConfirmedLeader(now))
+		d.term.Store(c.Replica().Term())
 		leader := c.Replica().LeaderID()
 		d.inGroup.Store(leader != 0 && c.Replica().IsMember())
 		if d.settings.Group != nil && leader != 0 && leader != d.settings.ReplicaID {
--- a/io/tbdaemon/effects.go
+++ b/io/tbdaemon/effects.go
@@ -104,7 +104,7 @@
 	case tbcontrol.AnswerLeaderRequest:
 		d.reply(e.Request, e)
 	case tbcontrol.SendOrder:
-		go d.sendOrder(e)
+		d.orders.send(e)
 	case tbcontrol.Log:
 		d.logDecision(e)
 	default:
--- /dev/null
+++ b/io/tbdaemon/relay.go
@@ -0,0 +1,400 @@
+package tbdaemon
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"tamarackbarrow/core/tbcontrol"
+	"tamarackbarrow/core/tbfleet"
+	"tamarackbarrow/core/tbnode"
+	"tamarackbarrow/core/tbrelay"
+	"tamarackbarrow/io/tbcodec"
+	"tamarackbarrow/io/tbpeer"
+	pb "tamarackbarrow/io/tbproto/v1"
+)
+
+// Timing of relayed orders.
+const (
+	// maxSendDelay is the longest time from when an order is issued until it is sent to the worker,
+	// by the leader or by a relay. A later order is not sent.
+	maxSendDelay = time.Second
+	// relayLinger is how long an order or a result waits for others, to share a message with them.
+	relayLinger = 2 * time.Millisecond
+	// relayTimeout is the timeout of a request to a relay, and of a message with results.
+	relayTimeout = 400 * time.Millisecond
+	// relayMargin is added to the timeout of a relayed order for the way through the relay.
+	relayMargin = 200 * time.Millisecond
+	// pendingCheckInterval is the time between two checks for pending orders past their deadline.
+	pendingCheckInterval = 50 * time.Millisecond
+	// idleResultsInterval is how long a sender of results waits for a further result before it ends.
+	idleResultsInterval = 5 * time.Second
+)
+
+// orderSender sends the leader's orders to workers, directly or through relays.
+type orderSender struct {
+	d       *Daemon
+	mu      sync.Mutex
+	router  *tbrelay.Router
+	pending *tbrelay.Pending
+	// batchers holds the orders to send, by the address of the relay. It is empty while the leader
+	// wants no relays.
+	batchers map[string]*batcher[tbrelay.PendingOrder]
+	// cancel stops the goroutines that serve relays. It is nil while there are none.
+	cancel context.CancelFunc
+}
+
+func newOrderSender(d *Daemon, policy tbrelay.Policy, firstID uint64) *orderSender {
+	return &orderSender{d: d, router: tbrelay.NewRouter(policy), pending: tbrelay.NewPending(firstID), batchers: map[string]*batcher[tbrelay.PendingOrder]{}}
+}
+
+func relayPolicy(name string) tbrelay.Policy {
+	return map[string]tbrelay.Policy{"always": tbrelay.Always, "never": tbrelay.Never}[name]
+}
+
+// send sends an order without blocking. The result is queued as an event.
+func (s *orderSender) send(e tbcontrol.SendOrder) {
+	if s.d.adapter == nil {
+		return
+	}
+	now := s.d.clock.Now()
+	target, timeout := targetOf(e.Order)
+	o := tbrelay.PendingOrder{Order: e.Order, Term: e.Term, IssuedAt: now, Deadline: now.Add(timeout + relayMargin)}
+	s.mu.Lock()
+	choice, ok := s.router.Choose(now, target.ID, target.DataCentre)
+	if s.router.WantsRelays() && s.cancel == nil {
+		s.startLocked()
+	}
+	b := s.batchers[choice.Address]
+	if ok && b != nil {
+		o.Relay, o.Issued = choice.Address, choice.Reading
+		o.ID = s.pending.Add(o)
+	}
+	s.mu.Unlock()
+	if o.ID == 0 {
+		go s.sendDirectly(o)
+		return
+	}
+	b.add(o)
+}
+
+// sendDirectly sends an order to its worker and queues the result.
+func (s *orderSender) sendDirectly(o tbrelay.PendingOrder) {
+	if s.d.clock.Now().Sub(o.IssuedAt) > maxSendDelay {
+		s.d.counters.add("orders.expired")
+		s.queueResult(o, tbcodec.OrderResult{Outcome: tbfleet.NotSent, Cause: causeExpired})
+		return
+	}
+	s.queueResult(o, s.d.executeOrder(o.Order))
+}
+
+// causeExpired is the cause of a result for an order that was older than maxSendDelay.
+const causeExpired = "the order was issued too long ago"
+
+func (s *orderSender) queueResult(o tbrelay.PendingOrder, r tbcodec.OrderResult) {
+	s.d.queueEvent(tbnode.Event{Control: resultEvent(o, r)})
+}
+
+// startLocked starts the goroutine that maintains the relays and expires pending orders.
+func (s *orderSender) startLocked() {
+	ctx, cancel := context.WithCancel(s.d.ctx)
+	s.cancel = cancel
+	s.d.log.Info("orders to workers are passed to relays", "replicas", len(s.d.Replicas()))
+	s.d.spawn(func() { s.maintain(ctx) })
+}
+
+// maintain starts a sender for each other replica. It ends once this replica is not the leader or
+// wants no relays, and no order is pending.
+func (s *orderSender) maintain(ctx context.Context) {
+	ticker := time.NewTicker(pendingCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		s.mu.Lock()
+		expired := s.pending.TakeExpired(s.d.clock.Now())
+		isLeader := s.d.isConfirmedLeader.Load()
+		if !isLeader {
+			s.router.HandleLeadershipLost()
+		}
+		wantsRelays := isLeader && s.router.WantsRelays()
+		if wantsRelays {
+			s.addBatchersLocked(ctx)
+		}
+		ends := !wantsRelays && s.pending.Size() == 0
+		if ends {
+			s.cancel()
+			s.cancel = nil
+			clear(s.batchers)
+		}
+		s.mu.Unlock()
+		for _, o := range expired {
+			s.d.counters.add("relay.unanswered")
+			s.queueResult(o, tbcodec.OrderResult{Cause: "no result from relay " + o.Relay})
+		}
+		if ends {
+			s.d.log.Info("orders to workers are sent without relays", "leads", isLeader)
+			return
+		}
+	}
+}
+
+func (s *orderSender) addBatchersLocked(ctx context.Context) {
+	for _, address := range s.d.Replicas() {
+		if address == s.d.settings.PeerAddress || s.batchers[address] != nil {
+			continue
+		}
+		b := newBatcher[tbrelay.PendingOrder]()
+		s.batchers[address] = b
+		s.d.spawn(func() {
+			b.run(ctx, relayLinger, tbrelay.ProbeInterval, func(orders []tbrelay.PendingOrder) { s.sendToRelay(ctx, address, orders) })
+		})
+	}
+}
+
+// sendToRelay sends a batch of orders to a relay. An empty batch probes the relay.
+func (s *orderSender) sendToRelay(ctx context.Context, address string, orders []tbrelay.PendingOrder) {
+	m := &pb.RelayRequest{LeaderAddress: s.d.settings.PeerAddress, Orders: make([]*pb.RelayedOrder, 0, len(orders))}
+	var oldest tbrelay.Reading
+	for i, o := range orders {
+		switch {
+		case i == 0:
+			oldest = o.Issued
+		case o.Issued.Session != oldest.Session:
+			// The relay has restarted. It accepts no order without a reading.
+			oldest = tbrelay.Reading{}
+		case o.Issued.Clock < oldest.Clock:
+			oldest = o.Issued
+		}
+		m.Term = max(m.Term, o.Term)
+		m.Orders = append(m.Orders, tbcodec.OrderToWire(o.ID, o.Order))
+	}
+	m.RelaySession, m.RelayClock = oldest.Session, int64(oldest.Clock)
+	s.d.counters.addMany("relay.orders", len(orders))
+	sentAt := s.d.clock.Now()
+	answer, err := s.d.peers.Relay(ctx, address, relayTimeout, m)
+	s.mu.Lock()
+	if err == nil && !answer.GetCannotRelay() {
+		s.router.HandleAnswer(s.d.clock.Now(), sentAt, address, answer.GetDataCentre(),
+			tbrelay.Reading{Session: answer.GetRelaySession(), Clock: time.Duration(answer.GetRelayClock())})
+		s.mu.Unlock()
+		return
+	}
+	s.router.HandleFailure(address)
+	var notSent *tbpeer.NotSentError
+	var returned []tbrelay.PendingOrder
+	if err == nil || errors.As(err, &notSent) {
+		returned = s.takeLocked(orders)
+	}
+	lost := s.pending.TakeOf(address)
+	s.mu.Unlock()
+	if len(orders) > 0 || len(lost) > 0 {
+		s.d.log.Warn("relay lost", "relay", address, "error", err, "unsent", len(returned), "unconfirmed", len(lost))
+		s.d.counters.add("relay.failed")
+	}
+	for _, o := range returned {
+		go s.sendDirectly(o)
+	}
+	for _, o := range lost {
+		s.queueResult(o, tbcodec.OrderResult{Cause: "relay " + address + " was lost"})
+	}
+}
+
+func (s *orderSender) takeLocked(orders []tbrelay.PendingOrder) []tbrelay.PendingOrder {
+	var taken []tbrelay.PendingOrder
+	for _, o := range orders {
+		if p, ok := s.pending.Take(o.ID); ok {
+			taken = append(taken, p)
+		}
+	}
+	return taken
+}
+
+// handleResults handles results that a relay has returned. Results of orders that are no longer
+// pending are ignored.
+func (s *orderSender) handleResults(results []*pb.RelayedResult) {
+	for _, m := range results {
+		s.mu.Lock()
+		o, ok := s.pending.Take(m.GetId())
+		s.mu.Unlock()
+		if !ok {
+			s.d.counters.add("relay.lateResult")
+			continue
+		}
+		r, err := tbcodec.ResultFromWire(m)
+		if err != nil {
+			s.d.log.Error("cannot decode the result of a relayed order", "relay", o.Relay, "error", err)
+			r = tbcodec.OrderResult{Cause: err.Error()}
+		}
+		s.queueResult(o, r)
+	}
+}
+
+// resultSender returns the results of relayed orders to the leaders that issued the orders.
+type resultSender struct {
+	d        *Daemon
+	mu       sync.Mutex
+	batchers map[string]*batcher[*pb.RelayedResult]
+}
+
+func newResultSender(d *Daemon) *resultSender {
+	return &resultSender{d: d, batchers: map[string]*batcher[*pb.RelayedResult]{}}
+}
+
+func (s *resultSender) add(leader string, result *pb.RelayedResult) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.batchers[leader]
+	if b == nil {
+		b = newBatcher[*pb.RelayedResult]()
+		s.batchers[leader] = b
+		ctx, cancel := context.WithCancel(s.d.ctx)
+		s.d.spawn(func() {
+			b.run(ctx, relayLinger, idleResultsInterval, func(results []*pb.RelayedResult) {
+				if len(results) > 0 {
+					s.send(ctx, leader, results)
+					return
+				}
+				s.removeIfIdle(leader, b, cancel)
+			})
+		})
+	}
+	b.add(result)
+}
+
+func (s *resultSender) removeIfIdle(leader string, b *batcher[*pb.RelayedResult], cancel context.CancelFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.items) == 0 && s.batchers[leader] == b {
+		delete(s.batchers, leader)
+		cancel()
+	}
+}
+
+// send sends results and repeats the message once on another connection. The leader ignores results
+// that it gets twice. Results that do not arrive leave the orders unconfirmed.
+func (s *resultSender) send(ctx context.Context, leader string, results []*pb.RelayedResult) {
+	const tries = 2
+	var err error
+	for range tries {
+		if err = s.d.peers.ReturnResults(ctx, leader, relayTimeout, &pb.ReturnResultsRequest{Results: results}); err == nil {
+			return
+		}
+	}
+	s.d.counters.addMany("relay.resultsLost", len(results))
+	s.d.log.Warn("results of relayed orders do not reach the leader", "leader", leader, "results", len(results), "error", err)
+}
+
+// Relay sends the orders of a leader to workers. The results follow with ReturnResults.
+func (h *peerHandler) Relay(_ context.Context, m *pb.RelayRequest) (*pb.RelayResponse, error) {
+	d := h.d
+	answer := &pb.RelayResponse{RelaySession: d.incarnation, RelayClock: int64(readBootTime()), DataCentre: d.settings.DataCentre}
+	if d.adapter == nil || d.ctx.Err() != nil {
+		answer.CannotRelay = true
+		return answer, nil
+	}
+	issued := tbrelay.Reading{Session: m.GetRelaySession(), Clock: time.Duration(m.GetRelayClock())}
+	if m.GetTerm() < d.term.Load() {
+		// The leader has been replaced.
+		issued = tbrelay.Reading{}
+	}
+	for _, wire := range m.GetOrders() {
+		order, err := tbcodec.OrderFromWire(wire)
+		if err != nil {
+			d.log.Error("cannot decode an order to relay", "leader", m.GetLeaderAddress(), "error", err)
+			continue
+		}
+		go d.executeRelayed(m.GetLeaderAddress(), wire.GetId(), order, issued)
+	}
+	return answer, nil
+}
+
+func (d *Daemon) executeRelayed(leader string, id uint64, order tbfleet.Order, issued tbrelay.Reading) {
+	var r tbcodec.OrderResult
+	if now := (tbrelay.Reading{Session: d.incarnation, Clock: readBootTime()}); tbrelay.Fresh(now, issued, maxSendDelay) {
+		d.counters.add("relay.executed")
+		r = d.executeOrder(order)
+	} else {
+		d.counters.add("relay.expired")
+		r = tbcodec.OrderResult{Outcome: tbfleet.NotSent, Cause: causeExpired}
+	}
+	d.results.add(leader, tbcodec.ResultToWire(id, r))
+}
+
+// ReturnResults accepts the results of orders that this replica has passed to a relay.
+func (h *peerHandler) ReturnResults(_ context.Context, m *pb.ReturnResultsRequest) (*pb.ReturnResultsResponse, error) {
+	h.d.orders.handleResults(m.GetResults())
+	return &pb.ReturnResultsResponse{}, nil
+}
+
+// executeOrder sends an order to its worker through the adapter and waits for the result.
+func (d *Daemon) executeOrder(order tbfleet.Order) tbcodec.OrderResult {
+	start := time.Now()
+	var r tbcodec.OrderResult
+	var latencyName string
+	switch o := order.(type) {
+	case tbfleet.Start:
+		latencyName = latencyWorkerStart
+		a := d.adapter.Start(d.ctx, o)
+		r = tbcodec.OrderResult{Outcome: a.Outcome, Cause: a.Cause, ClockMs: a.ClockMs}
+	case tbfleet.Stop:
+		latencyName = latencyWorkerStop
+		r = tbcodec.OrderResult{Outcome: d.adapter.Stop(d.ctx, o).Outcome}
+	case tbfleet.Poll:
+		latencyName = latencyWorkerPoll
+		a := d.adapter.Poll(d.ctx, o)
+		r = tbcodec.OrderResult{
+			Outcome: a.Outcome, ClockMs: a.ClockMs, ActualIncarnation: a.ActualIncarnation, Partial: a.Partial, Running: a.Running, Ended: a.Ended,
+		}
+	case tbfleet.SetSpeed:
+		latencyName = latencyWorkerSpeed
+		r = tbcodec.OrderResult{Outcome: d.adapter.SetSpeed(d.ctx, o).Outcome}
+	}
+	d.counters.histograms.observe(latencyName, time.Since(start))
+	return r
+}
+
+func targetOf(order tbfleet.Order) (tbfleet.Target, time.Duration) {
+	switch o := order.(type) {
+	case tbfleet.Start:
+		return o.Target, o.Timeout
+	case tbfleet.Stop:
+		return o.Target, o.Timeout
+	case tbfleet.Poll:
+		return o.Target, o.Timeout
+	case tbfleet.SetSpeed:
+		return o.Target, o.Timeout
+	}
+	return tbfleet.Target{}, 0
+}
+
+// resultEvent returns the event that reports the result of an order.
+func resultEvent(o tbrelay.PendingOrder, r tbcodec.OrderResult) tbcontrol.Event {
+	switch order := o.Order.(type) {
+	case tbfleet.Start:
+		return tbcontrol.StartAnswered{Term: o.Term, Answer: tbfleet.StartAnswered{
+			Worker: order.Target.ID, Incarnation: order.Target.Incarnation, Ref: order.Ref, Run: order.Run, Outcome: r.Outcome, Cause: r.Cause, ClockMs: r.ClockMs,
+		}}
+	case tbfleet.Stop:
+		return tbcontrol.StopAnswered{Term: o.Term, Answer: tbfleet.StopAnswered{
+			Worker: order.Target.ID, Incarnation: order.Target.Incarnation, Ref: order.Ref, Run: order.Run, Outcome: r.Outcome,
+		}}
+	case tbfleet.SetSpeed:
+		return tbcontrol.SpeedAnswered{Term: o.Term, Answer: tbfleet.SpeedAnswered{
+			Worker: order.Target.ID, Incarnation: order.Target.Incarnation, Ref: order.Ref, Run: order.Run, Percent: order.Percent, Outcome: r.Outcome,
+		}}
+	}
+	order := o.Order.(tbfleet.Poll)
+	return tbcontrol.PollAnswered{Term: o.Term, Answer: tbfleet.PollAnswered{
+		Worker: order.Target.ID, Incarnation: order.Target.Incarnation, LastRecordedEnd: order.LastRecordedEnd, Outcome: r.Outcome,
+		// The answer shows the worker's state at some time after the order was issued.
+		SentAt: o.IssuedAt, ActualIncarnation: r.ActualIncarnation, ClockMs: r.ClockMs,
+		Running: r.Running, Ended: r.Ended, Partial: r.Partial,
+	}}
+}
--- a/io/tbpeer/client.go
+++ b/io/tbpeer/client.go
@@ -171,6 +171,21 @@
 	})
 }
 
+// Relay passes orders of the leader to a replica, which sends them to workers.
+func (c *Client) Relay(ctx context.Context, address string, timeout time.Duration, m *pb.RelayRequest) (*pb.RelayResponse, error) {
+	return roundTrip(c, ctx, address, timeout, func(ctx context.Context, peer pb.DRPCPeerServiceClient) (*pb.RelayResponse, error) {
+		return peer.Relay(ctx, m)
+	})
+}
+
+// ReturnResults returns the results of relayed orders to the leader.
+func (c *Client) ReturnResults(ctx context.Context, address string, timeout time.Duration, m *pb.ReturnResultsRequest) error {
+	_, err := roundTrip(c, ctx, address, timeout, func(ctx context.Context, peer pb.DRPCPeerServiceClient) (*pb.ReturnResultsResponse, error) {
+		return peer.ReturnResults(ctx, m)
+	})
+	return err
+}
+
 // Query sends a query of a caller or operator to a control replica. The query asks for jobs, for the
 // status or for a change of the control group. A replica that is not the leader answers with
 // NotLeader.
--- a/io/tbsettings/settings.go
+++ b/io/tbsettings/settings.go
@@ -147,6 +147,9 @@
 	SnapshotEvery int64
 	// BatchCommits is false if each log entry holds one command.
 	BatchCommits bool
+	// Relay is byLoad, always or never. It says when the leader passes orders to workers through the
+	// other replicas.
+	Relay string
 }
 
 // Load reads and checks a settings file. The error is a tbtoml.Errors with every error found.
@@ -365,12 +368,18 @@
 		ShareByDemand:   t.BoolOr("shareByDemand", true),
 		SnapshotEvery:   t.IntOr("snapshotEvery", 10_000),
 		BatchCommits:    t.BoolOr("batchCommits", true),
+		Relay:           t.StringOr("relay", "byLoad"),
 	}
 	switch p.Routing {
 	case "leastLoaded", "twoChoices", "random":
 	default:
 		t.Errorf("routing", "must be leastLoaded, twoChoices or random, is %q", p.Routing)
 	}
+	switch p.Relay {
+	case "byLoad", "always", "never":
+	default:
+		t.Errorf("relay", "must be byLoad, always or never, is %q", p.Relay)
+	}
 	if p.SnapshotEvery <= 0 {
 		t.Errorf("snapshotEvery", "must be above 0, is %d", p.SnapshotEvery)
 	}
