tbassign: keep whole slots for short tasks

Cause: each worker kept 8 percent of its processors free of long-running tasks. On the large site a quote task needs 10 of 32 processors.

Change: long-running tasks fill workers without room for a short task completely, and leave as many whole slots as short tasks recently needed at the same time (observed peak and average demand, both decaying). Without recent short tasks the share of each worker stays free as before; an overdue task may start where that share is kept.

The check of the headroom test that a plan has no other runs is replaced, since long-running tasks may now use spare slots: as many short tasks as before must find room at once after them.

--- a/core/tbassign/assign_test.go
+++ b/core/tbassign/assign_test.go
@@ -153,7 +153,24 @@
 	b.submit("watch", "w1", tbflow.Step{Count: 40, Need: resources(5), LongRunning: true, Image: "a"})
 	b.planAndCommit()
 	b.submit("short", "s1", tbflow.Step{Count: 4, Need: resources(2), Estimate: 500 * time.Millisecond})
-	qt.Check(t, b.planAndCommit(), qt.HasLen, 4)
+	b.planAndCommit()
+	b.state.Jobs["s1"].EachTask(func(ref tbflow.TaskRef, task *tbflow.Task) {
+		qt.Check(t, task.Phase, qt.Equals, tbflow.TaskAssigned, qt.Commentf("%s", ref))
+	})
+	// Now that short tasks are known, long-running tasks use the slots that are to spare. When the
+	// short tasks have ended, as many must still find room.
+	b.planAndCommit()
+	b.state.Jobs["s1"].EachTask(func(ref tbflow.TaskRef, task *tbflow.Task) {
+		b.commit(tbflow.RecordEnds{Worker: task.Worker, Incarnation: 1, Ends: []tbflow.End{{Ref: ref, Run: 1, Kind: tbflow.EndDone}}})
+	})
+	for range 3 {
+		b.planAndCommit()
+	}
+	b.submit("short", "s2", tbflow.Step{Count: 4, Need: resources(2), Estimate: 500 * time.Millisecond})
+	b.planAndCommit()
+	b.state.Jobs["s2"].EachTask(func(ref tbflow.TaskRef, task *tbflow.Task) {
+		qt.Check(t, task.Phase, qt.Equals, tbflow.TaskAssigned, qt.Commentf("%s", ref))
+	})
 }
 
 // Best-effort jobs that can still be on time start before those that cannot.
--- a/core/tbassign/learner.go
+++ b/core/tbassign/learner.go
@@ -27,8 +27,10 @@
 	// speedChangedWorkers holds the IDs of the workers on which a speed has changed since the
 	// newest poll that ObservePoll did not ignore.
 	speedChangedWorkers map[string]bool
-	workloads           workloadCache
-	planBuffers         planBuffers
+	// shortDemands holds the observed demand of short tasks by worker class.
+	shortDemands map[string]shortDemand
+	workloads    workloadCache
+	planBuffers  planBuffers
 }
 
 // NewLearner returns a learner without observations. Until run times are observed, it takes the
@@ -36,7 +38,7 @@
 func NewLearner() *Learner {
 	return &Learner{
 		runTimeRatios: map[tbflow.QueueKey]float64{}, slopeFilters: map[string]*slopeFilter{},
-		lastSamples: map[string]pollSample{}, violatingSince: map[string]map[tbflow.TaskRef]time.Time{}, speedChangedWorkers: map[string]bool{},
+		lastSamples: map[string]pollSample{}, violatingSince: map[string]map[tbflow.TaskRef]time.Time{}, speedChangedWorkers: map[string]bool{}, shortDemands: map[string]shortDemand{},
 	}
 }
 
--- a/core/tbassign/place.go
+++ b/core/tbassign/place.go
@@ -165,8 +165,9 @@
 	workers   []*workerState
 	scores    []float64
 	// usesHeadroom is true for the workers on which a long-running task would use the headroom for
-	// short tasks.
+	// short tasks. slotBudget is the budget of the class for a long-running step, otherwise nil.
 	usesHeadroom []bool
+	slotBudget   *slotBudget
 	// unverified is true for the workers of a best-effort step whose long-running tasks may not
 	// tolerate another task. The check is costly and is therefore made only for the best workers.
 	unverified []bool
@@ -184,6 +185,10 @@
 	n := len(c.workers)
 	b.scores, b.usesHeadroom, b.unverified = slices.Grow(b.scores[:0], n), slices.Grow(b.usesHeadroom[:0], n), slices.Grow(b.unverified[:0], n)
 	c.scores, c.usesHeadroom, c.unverified = b.scores[:n], b.usesHeadroom[:n], b.unverified[:n]
+	c.slotBudget = nil
+	if w.step.LongRunning {
+		c.slotBudget = p.slotBudgets[w.job.WorkerClass]
+	}
 	for _, r := range c.workers {
 		c.rescore(r)
 	}
@@ -201,7 +206,11 @@
 	c.unverified[r.classIndex] = c.step.step.BestEffort
 	if c.planState.hasRoom(r, c.step) {
 		c.scores[r.classIndex] = c.planState.score(r, c.step)
-		c.usesHeadroom[r.classIndex] = c.step.step.LongRunning && !keepsHeadroom(r.free, c.step.step, r.worker)
+		if b := c.slotBudget; b != nil && b.isKnown {
+			c.usesHeadroom[r.classIndex] = b.slotsTaken(r.free, c.step.step.Need) > 0
+		} else if b != nil {
+			c.usesHeadroom[r.classIndex] = !keepsHeadroom(r.free, c.step.step, r.worker)
+		}
 	}
 }
 
@@ -239,15 +248,18 @@
 // bestScored returns the worker with the highest score, or nil if the task cannot be placed now.
 //
 // A long-running task may have to use the headroom for short tasks on every worker that it fits
-// on. It may do so if it has waited for longer than headroomWaitMs and at least two workers fit.
-// The headroom of the other worker then stays free.
+// on. It may do so if it has waited for longer than headroomWaitMs and at least two workers fit, or
+// if the share for short tasks stays free (see keepsHeadroom). In the first case, the headroom of
+// the other worker stays free.
 func (c *candidates) bestScored(t *tbflow.Task) *workerState {
 	bestIndex, bestUsingHeadroom := -1, -1
 	headroomCount := 0
+	// While there are spare slots, long-running tasks may take them.
+	mayUseHeadroom := c.slotBudget != nil && c.slotBudget.isKnown && c.slotBudget.spare > 0
 	for i, score := range c.scores {
 		switch {
 		case score == infeasibleScore || t.LastFailedOn != "" && avoids(t, c.workers[i], len(c.workers)):
-		case c.usesHeadroom[i]:
+		case c.usesHeadroom[i] && !mayUseHeadroom:
 			headroomCount++
 			if bestUsingHeadroom < 0 || score > c.scores[bestUsingHeadroom] {
 				bestUsingHeadroom = i
@@ -259,8 +271,10 @@
 	switch {
 	case bestIndex >= 0:
 		return c.workers[bestIndex]
-	case headroomCount >= 2 && c.planState.state.NowMs-t.WaitingSinceMs > headroomWaitMs:
-		return c.workers[bestUsingHeadroom]
+	case bestUsingHeadroom >= 0 && c.planState.state.NowMs-t.WaitingSinceMs > headroomWaitMs:
+		if r := c.workers[bestUsingHeadroom]; headroomCount >= 2 || keepsHeadroom(r.free, c.step.step, r.worker) {
+			return r
+		}
 	}
 	return nil
 }
@@ -305,7 +319,7 @@
 // The users' contract tolerates 3 s.
 const headroomWaitMs = 1500
 
-// keepsHeadroom reports whether a worker has enough free processors left after it has taken a task
+// keepsHeadroom is used while no demand of short tasks is known. It reports whether a worker has enough free processors left after it has taken a task
 // of a long-running step. It is enough if the headroom for short tasks or the demand of a second
 // task of the step is left.
 func keepsHeadroom(free tbresource.Amount, step *tbflow.Step, w *tbfleet.Worker) bool {
--- a/core/tbassign/plan.go
+++ b/core/tbassign/plan.go
@@ -22,6 +22,7 @@
 	}
 	state := newPlanState(now, s, f, l, g, steps)
 	state.addWorkloads()
+	state.computeSlotBudgets(steps)
 	state.orderForStart(steps)
 	return state.placeAll(steps, limit), state.candidates.scoredWorkers
 }
@@ -62,6 +63,8 @@
 	// unplaceable holds, by index of the best-effort image, the demand of a task for which no
 	// worker was found.
 	unplaceable map[int]tbresource.Amount
+	// slotBudgets holds the budgets of the worker classes for which long-running steps are waiting.
+	slotBudgets map[string]*slotBudget
 	// candidates is reused for all steps to save allocations.
 	candidates candidates
 }
@@ -117,6 +120,24 @@
 	p.images.addMissingLongRunning()
 }
 
+// computeSlotBudgets computes the budgets of slots for short tasks that long-running steps may take.
+func (p *planState) computeSlotBudgets(steps []*waitingStep) {
+	assignedShortTasks := p.learner.observeShortDemand(p.now, p.state)
+	p.slotBudgets = map[string]*slotBudget{}
+	for _, w := range steps {
+		class := w.job.WorkerClass
+		if !w.step.LongRunning || p.slotBudgets[class] != nil {
+			continue
+		}
+		free := make([]tbresource.Amount, 0, len(p.workersByClass[class]))
+		for _, r := range p.workersByClass[class] {
+			free = append(free, r.free)
+		}
+		b := newSlotBudget(p.now, p.learner.shortDemands[class], assignedShortTasks[class], p.consideredShare, free)
+		p.slotBudgets[class] = &b
+	}
+}
+
 func (p *planState) workerCount() int {
 	n := 0
 	for _, workers := range p.workersByClass {
--- a/core/tbassign/reference_test.go
+++ b/core/tbassign/reference_test.go
@@ -38,6 +38,9 @@
 	assignedMillicores map[classImage]int64
 	// severityCache caches the severities of the long-running images for this plan.
 	severityCache *severityCache
+	// slotBudgets holds the budgets of slots for short tasks at the beginning of the plan, less what
+	// the long-running tasks of the plan have taken.
+	slotBudgets map[string]*slotBudget
 	// harmfulShares holds, for each best-effort image, the share of workers on which the image is
 	// harmful. It is nil until it is first needed.
 	harmfulShares map[string]float64
@@ -88,6 +91,16 @@
 		p.workersByID[w.ID] = r
 	}
 	p.applyReservations()
+	assignedShortTasks := l.observeShortDemand(now, s)
+	p.slotBudgets = map[string]*slotBudget{}
+	for class, workers := range p.workersByClass {
+		var free []tbresource.Amount
+		for _, r := range workers {
+			free = append(free, r.free)
+		}
+		b := newSlotBudget(now, l.shortDemands[class], assignedShortTasks[class], 1, free)
+		p.slotBudgets[class] = &b
+	}
 	return p
 }
 
@@ -187,6 +200,7 @@
 			}
 			continue
 		}
+		p.takeSlots(r, w, 1)
 		r.allocate(w)
 		plan = append(plan, tbflow.Assignment{Ref: ref, Run: t.Run + 1, Worker: r.worker.ID, Incarnation: r.worker.Incarnation})
 	}
@@ -228,9 +242,11 @@
 		if r == nil {
 			for _, r := range assigned {
 				r.release(w)
+				p.takeSlots(r, w, -1)
 			}
 			return nil
 		}
+		p.takeSlots(r, w, 1)
 		r.allocate(w)
 		assigned = append(assigned, r)
 		plan = append(plan, tbflow.Assignment{Ref: ref, Run: run + 1, Worker: r.worker.ID, Incarnation: r.worker.Incarnation})
@@ -249,7 +265,7 @@
 			continue
 		}
 		score := p.score(r, w)
-		if w.step.LongRunning && !r.keepsHeadroom(w.step) {
+		if w.step.LongRunning && p.usesHeadroom(r, w) {
 			headroomCount++
 			if bestUsingHeadroom == nil || score > bestUsingHeadroomScore {
 				bestUsingHeadroom, bestUsingHeadroomScore = r, score
@@ -260,7 +276,8 @@
 			best, bestScore = r, score
 		}
 	}
-	if best == nil && headroomCount >= 2 && p.state.NowMs-t.WaitingSinceMs > headroomWaitMs {
+	if best == nil && bestUsingHeadroom != nil && p.state.NowMs-t.WaitingSinceMs > headroomWaitMs &&
+		(headroomCount >= 2 || bestUsingHeadroom.keepsHeadroom(w.step)) {
 		return bestUsingHeadroom
 	}
 	return best
@@ -286,6 +303,23 @@
 	return satisfiesConstraints(w.step, r.worker, r.spreadCounts[w.stepRef()])
 }
 
+// takeSlots counts the slots that a long-running task takes. With sign -1, it adds them back.
+func (p *referenceState) takeSlots(r *referenceWorker, w waitingStep, sign int) {
+	if b := p.slotBudgets[w.job.WorkerClass]; w.step.LongRunning && b.isKnown {
+		b.spare -= sign * (b.demand.slots(r.free) - b.demand.slots(r.free.Sub(w.step.Need)))
+	}
+}
+
+// usesHeadroom reports whether a long-running task would use capacity on a worker that is kept for
+// short tasks.
+func (p *referenceState) usesHeadroom(r *referenceWorker, w waitingStep) bool {
+	b := p.slotBudgets[w.job.WorkerClass]
+	if !b.isKnown {
+		return !r.keepsHeadroom(w.step)
+	}
+	return b.spare <= 0 && b.demand.slots(r.free.Sub(w.step.Need)) < b.demand.slots(r.free)
+}
+
 // keepsHeadroom reports whether a worker has enough free processors left after it has taken a task
 // of a long-running step. It is enough if the headroom for short tasks or the demand of a second
 // task of the step is left.
--- a/core/tbassign/worker_state.go
+++ b/core/tbassign/worker_state.go
@@ -133,6 +133,9 @@
 		p.adjustBestEffort(r, w.step, sign)
 		need.MilliProcessors = 0
 	} else {
+		if b := p.slotBudgets[w.job.WorkerClass]; w.step.LongRunning && b != nil && b.isKnown {
+			b.adjust(r.free, need, sign)
+		}
 		p.adjustExpectedUse(r, w.step, sign)
 	}
 	r.adjustFree(w.step, w.stepRef(), need, sign)
--- a/core/tbflow/job.go
+++ b/core/tbflow/job.go
@@ -207,6 +207,12 @@
 // WaitingTasks returns the number of waiting tasks of a step.
 func (j *Job) WaitingTasks(occurrence, step int) int { return j.counts[occurrence][step].waiting }
 
+// AssignedTasks returns the number of tasks of a step that have an assigned run.
+func (j *Job) AssignedTasks(occurrence, step int) int {
+	c := j.counts[occurrence][step]
+	return len(j.Tasks[occurrence][step]) - c.waiting - c.done
+}
+
 // HasWaitingTasks reports whether any task of the job is waiting, in any occurrence.
 func (j *Job) HasWaitingTasks() bool { return j.waitingTasks > 0 }
 
