--- a/core/tbassign/rebalance.go
+++ b/core/tbassign/rebalance.go
@@ -26,6 +26,9 @@
 	rebalanceInterval = time.Second
 	// maxRelocationsPerRound is the largest number of relocations in one round.
 	maxRelocationsPerRound = 3
+	// maxWorkersPerRound is the largest number of workers that a round considers. The next round
+	// continues behind them. It bounds the run time of a round.
+	maxWorkersPerRound = 512
 	// maxDestinationsPerRound is the largest number of workers of a class to which one round tries
 	// to move tasks. The next round continues with other workers.
 	maxDestinationsPerRound = 200
@@ -86,7 +89,7 @@
 	if len(backlog) == 0 {
 		return nil
 	}
-	round := newRebalanceRound(now, s, f, l, g.movePlannedAt, backlog)
+	round := newRebalanceRound(now, s, f, l, g, backlog)
 	round.excludeWorkers(g.workersInMoves(now, s))
 	round.setWeights(backlog)
 	round.selectDestinations(g.roundNumber)
--- a/core/tbassign/rebalance_round.go
+++ b/core/tbassign/rebalance_round.go
@@ -20,6 +20,8 @@
 // usable workers and their long-running tasks.
 type rebalanceRound struct {
 	classesByName map[string]*rebalanceClass
+	// consideredShare is the share of the fleet that the round considers, from 0 to 1.
+	consideredShare float64
 }
 
 type rebalanceClass struct {
@@ -79,8 +81,7 @@
 }
 
 func newRebalanceRound(
-	now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, movePlannedAt map[tbflow.TaskRef]time.Time,
-	backlog map[string]map[string]float64,
+	now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer, backlog map[string]map[string]float64,
 ) *rebalanceRound {
 	rr := &rebalanceRound{classesByName: map[string]*rebalanceClass{}}
 	cache := newSeverityCache(l)
@@ -90,7 +91,7 @@
 		}
 	}
 	notRunningSteps := stepsNotRunning(s, f)
-	for _, w := range f.Workers() {
+	for _, w := range rr.selectWorkers(f, g.roundNumber) {
 		c := rr.classesByName[w.Class]
 		if c == nil || !f.Usable(w, now) {
 			continue
@@ -106,7 +107,7 @@
 				return
 			}
 			run := w.Run(ref)
-			_, onCooldown := movePlannedAt[ref]
+			_, onCooldown := g.movePlannedAt[ref]
 			age := time.Duration(s.NowMs-t.AssignedMs) * time.Millisecond
 			r.tasks = append(r.tasks, &rebalanceTask{ref: ref, step: step, image: c.imageOf(step.Image),
 				movable: !onCooldown && age > minRunTimeBeforeMove && !notRunningSteps[stepRefOf(ref)] && run != nil && run.Phase == tbfleet.RunExecuting})
@@ -123,6 +124,20 @@
 	return rr
 }
 
+// selectWorkers returns the workers that a round considers. Successive rounds consider different
+// workers of a large fleet.
+func (rr *rebalanceRound) selectWorkers(f *tbfleet.Fleet, roundNumber int) []*tbfleet.Worker {
+	workers := f.Workers()
+	rr.consideredShare = 1
+	n := len(workers)
+	if n <= maxWorkersPerRound {
+		return workers
+	}
+	rr.consideredShare = float64(maxWorkersPerRound) / float64(n)
+	firstIndex := roundNumber * maxWorkersPerRound % n
+	return append(workers[firstIndex:n:n], workers[:firstIndex]...)[:maxWorkersPerRound]
+}
+
 func compareRefs(a, b tbflow.TaskRef) int {
 	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
 }
@@ -157,7 +172,7 @@
 					suitableWork += float64(r.worker.Capacity.MilliProcessors) / 1000 * bestEffortProcessorShare
 				}
 			}
-			c.weights[i] = max(0, backlog[class][image]-suitableWork*ignoredDrainTime.Seconds())
+			c.weights[i] = max(0, backlog[class][image]*rr.consideredShare-suitableWork*ignoredDrainTime.Seconds())
 			weightSum += c.weights[i]
 		}
 		for i := range c.weights {
--- a/core/tbassign/reference_moves_test.go
+++ b/core/tbassign/reference_moves_test.go
@@ -114,7 +114,7 @@
 			d.commit(tbflow.Assign{Assignments: Plan(d.now, d.state, d.fleet, d.learner, d.rebalancer, 1000)})
 			backlog := bestEffortBacklog(d.state, d.learner)
 			newRound := func() *rebalanceRound {
-				rr := newRebalanceRound(d.now, d.state, d.fleet, d.learner, d.rebalancer.movePlannedAt, backlog)
+				rr := newRebalanceRound(d.now, d.state, d.fleet, d.learner, d.rebalancer, backlog)
 				rr.setWeights(backlog)
 				rr.selectDestinations(0)
 				return rr
@@ -139,7 +139,7 @@
 	backlog := bestEffortBacklog(b.state, b.learner)
 	seen := map[string]bool{}
 	for round := range 3 {
-		rr := newRebalanceRound(b.now, b.state, b.fleet, b.learner, b.rebalancer.movePlannedAt, backlog)
+		rr := newRebalanceRound(b.now, b.state, b.fleet, b.learner, b.rebalancer, backlog)
 		rr.setWeights(backlog)
 		rr.selectDestinations(round)
 		qt.Check(t, rr.classesByName["c"].workers, qt.HasLen, 500)
