Refuse jobs with impossible numbers before they are stored

Cause, found while looking for a malformed message that ends a process: the count of a step times repeat_count could overflow in platform/decode.go, so that a caller's job passed the check of its size. Each replica would have panicked while it created the tasks, and again after each restart, as the job was committed. A request to the leader from a peer was not checked at all. A code or phase that a version does not know made String panic.

Change: tbflow.Job.Validate bounds each number before it multiplies.

--- a/core/tbcontrol/flow.go
+++ b/core/tbcontrol/flow.go
@@ -136,6 +136,11 @@
 		c.answerLeaderRequest(request, Answer{Code: NoQueue})
 		return
 	}
+	if err := q.Submit.Job.Validate(); err != nil {
+		c.emit(Log{Message: "job refused", Detail: err.Error(), Args: []any{"job", q.Submit.Job.ID}})
+		c.answerLeaderRequest(request, Answer{Code: Invalid})
+		return
+	}
 	l := c.leader.flow
 	if isAdmitted, retryAfter := tbassign.Admit(flow, l.fleet, l.learner, queue, &q.Submit.Job); !isAdmitted && !l.pendingSubmits[q.Submit.Job.ID] {
 		c.emit(Log{Message: "job turned away", Args: []any{
@@ -185,6 +190,7 @@
 		tbstate.Reason(tbflow.NoConfig):     NoConfig,
 		tbstate.Reason(tbflow.QueueUnknown): NoQueue,
 		tbstate.Reason(tbflow.JobUnknown):   NoJob,
+		tbstate.Reason(tbflow.JobInvalid):   Invalid,
 	}
 	c.answerLeaderRequest(request, Answer{Code: codeByReason[outcome.Reason]})
 }
--- a/core/tbcontrol/leader_request.go
+++ b/core/tbcontrol/leader_request.go
@@ -1,6 +1,7 @@
 package tbcontrol
 
 import (
+	"fmt"
 	"time"
 
 	"tamarackbarrow/core/tbconsensus"
@@ -92,13 +93,20 @@
 	Unconfirmed
 	// Removed means that the replica was removed from the group and its disk is no longer needed.
 	Removed
+	// Invalid means that the job cannot be stored or executed, see tbflow.Job.Validate.
+	Invalid
 )
 
 // String returns the outcome in lower camel case.
 func (c AnswerCode) String() string {
-	return [...]string{
-		"done", "noConfig", "noQueue", "noJob", "overloaded", "notReady", "outdated", "unsure", "removed",
-	}[c]
+	names := [...]string{
+		"done", "noConfig", "noQueue", "noJob", "overloaded", "notReady", "outdated", "unsure", "removed", "invalid",
+	}
+	if int(c) >= len(names) {
+		// A leader of a later version may send codes that this version does not know.
+		return fmt.Sprintf("code%d", c)
+	}
+	return names[c]
 }
 
 // Answer is the answer to a LeaderRequest; fields that do not belong to the request are zero.
--- a/core/tbflow/commands.go
+++ b/core/tbflow/commands.go
@@ -154,6 +154,7 @@
 	OK               Reason = ""
 	NoConfig         Reason = "noConfigurationYet"
 	QueueUnknown     Reason = "queueUnknown"
+	JobInvalid       Reason = "jobInvalid"
 	JobUnknown       Reason = "jobUnknown"
 	TaskUnknown      Reason = "taskUnknown"
 	TaskNotWaiting   Reason = "taskNotWaiting"
--- a/core/tbflow/job.go
+++ b/core/tbflow/job.go
@@ -1,6 +1,8 @@
 package tbflow
 
 import (
+	"errors"
+	"fmt"
 	"strconv"
 	"time"
 
@@ -86,7 +88,12 @@
 
 // String returns the phase in lower case.
 func (p JobPhase) String() string {
-	return [...]string{"queued", "running", "completed", "failed", "cancelled"}[p]
+	names := [...]string{"queued", "running", "completed", "failed", "cancelled"}
+	if int(p) >= len(names) {
+		// A replica of a later version may send phases that this version does not know.
+		return fmt.Sprintf("phase%d", p)
+	}
+	return names[p]
 }
 
 // Ended reports whether the job has ended, so that none of its tasks is started any more.
@@ -216,6 +223,44 @@
 // HasWaitingTasks reports whether any task of the job is waiting, in any occurrence.
 func (j *Job) HasWaitingTasks() bool { return j.waitingTasks > 0 }
 
+// MaxTasks is the largest number of tasks of a job, in all occurrences together.
+const MaxTasks = 20000
+
+// Validate returns an error if the job could not be stored or executed.
+//
+// Each replica creates the tasks of a committed job. A job with impossible numbers would therefore
+// end the processes of all replicas, and end them again after each restart.
+func (j *Job) Validate() error {
+	if len(j.Steps) == 0 {
+		return errors.New("job has no steps")
+	}
+	if j.Repeat < 0 || j.Repeat > MaxTasks {
+		return fmt.Errorf("job is repeated %d times, must be 0 to %d", j.Repeat, MaxTasks)
+	}
+	taskCount := 0
+	for i := range j.Steps {
+		step := &j.Steps[i]
+		if step.Count < 1 || step.Count > MaxTasks {
+			return fmt.Errorf("step %d has %d tasks, must be 1 to %d", i, step.Count, MaxTasks)
+		}
+		if step.Need.MilliProcessors < 0 || step.Need.MemoryMB < 0 || step.Need.Accelerators < 0 || step.Estimate < 0 {
+			return fmt.Errorf("step %d has a negative amount or estimate", i)
+		}
+		for _, dep := range step.DependsOn {
+			if dep < 0 || dep >= i {
+				return fmt.Errorf("step %d depends on step %d, which is not an earlier step", i, dep)
+			}
+		}
+		if taskCount += step.Count; taskCount > MaxTasks {
+			return fmt.Errorf("job has more than %d tasks in one occurrence", MaxTasks)
+		}
+	}
+	if n := taskCount * max(1, j.Repeat); n > MaxTasks {
+		return fmt.Errorf("job has %d tasks, at most %d are allowed", n, MaxTasks)
+	}
+	return nil
+}
+
 // Task returns the task that ref identifies, or nil if there is none.
 func (j *Job) Task(ref TaskRef) *Task {
 	if ref.Occurrence < 0 || ref.Occurrence >= len(j.Tasks) || ref.Step < 0 || ref.Step >= len(j.Steps) {
--- a/core/tbflow/state.go
+++ b/core/tbflow/state.go
@@ -207,6 +207,9 @@
 	if q == nil {
 		return QueueUnknown
 	}
+	if c.Job.Validate() != nil {
+		return JobInvalid
+	}
 	j := c.Job
 	j.Queue = q.Key
 	j.copyQueueSettings(q)
--- a/io/tbflowcodec/codec_test.go
+++ b/io/tbflowcodec/codec_test.go
@@ -89,6 +89,29 @@
 	qt.Check(t, decoded.Listed, qt.HasLen, 0)
 }
 
+// Whatever a peer sends or a damaged file contains is decoded or refused, without a panic.
+func FuzzDecode(f *testing.F) {
+	f.Add(EncodeCommand(tbflow.Submit{Job: testJob, Host: "h", Path: "/p/a"}))
+	f.Add(EncodeCommand(tbflow.RecordListed{Worker: "w", Incarnation: 5, Runs: []tbflow.RunRef{{Run: 4}}}))
+	f.Add(EncodeLeaderRequest(tbcontrol.SubmitRequested{Submit: tbflow.Submit{Job: testJob}}))
+	f.Add(EncodeAnswer(tbcontrol.Answer{Code: 200}))
+	f.Add(EncodeState(tbflow.New()))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		if c, err := DecodeCommand(data); err == nil {
+			if submit, ok := c.(tbflow.Submit); ok {
+				s := tbflow.New()
+				s.Apply(1, tbflow.PutConfig{Config: tbflow.Config{Version: 1, Queues: []tbflow.Queue{{Key: tbflow.QueueKey{Host: submit.Host}}}}})
+				s.Apply(2, submit)
+			}
+		}
+		_, _ = DecodeLeaderRequest(data)
+		if a, err := DecodeAnswer(data); err == nil {
+			_, _ = a.Code.String(), a.Phase.String()
+		}
+		_, _ = DecodeState(data)
+	})
+}
+
 func TestInvalidBytesReturnErrors(t *testing.T) {
 	// 0xc1 is not used in msgpack. 0x91 starts an array of one element, and the element is missing.
 	for _, data := range [][]byte{nil, {200}, {0, 0xc1}, {1, 0x91}} {
