--- a/io/tbdaemon/batcher.go
+++ b/io/tbdaemon/batcher.go
@@ -10,7 +10,7 @@
 type batcher[T any] struct {
 	mu    sync.Mutex
 	items []T
-	// wake has an element while items has arrived since the last batch.
+	// wake has an element if items have arrived since the last batch.
 	wake chan struct{}
 }
 
