tbdaemon: split the files of relays; clarify comments

The leader's side, the relay's side and the execution of an order are in files of their own. Nothing else is changed in them.

--- a/core/tbassign/place.go
+++ b/core/tbassign/place.go
@@ -319,9 +319,9 @@
 // The users' contract tolerates 3 s.
 const headroomWaitMs = 1500
 
-// keepsHeadroom is used while no demand of short tasks is known. It reports whether a worker has enough free processors left after it has taken a task
+// keepsHeadroom reports whether a worker has enough free processors left after it has taken a task
 // of a long-running step. It is enough if the headroom for short tasks or the demand of a second
-// task of the step is left.
+// task of the step is left. While the demand of short tasks is known, slotBudget is used instead.
 func keepsHeadroom(free tbresource.Amount, step *tbflow.Step, w *tbfleet.Worker) bool {
 	left := free.MilliProcessors - step.Need.MilliProcessors
 	return left >= step.Need.MilliProcessors || processorShare(left, w) >= shortHeadroomShare
--- /dev/null
+++ b/io/tbdaemon/orders.go
@@ -0,0 +1,76 @@
+package tbdaemon
+
+import (
+	"time"
+
+	"tamarackbarrow/core/tbcontrol"
+	"tamarackbarrow/core/tbfleet"
+	"tamarackbarrow/core/tbrelay"
+	"tamarackbarrow/io/tbcodec"
+)
+
+// executeOrder sends an order to its worker through the adapter and waits for the result.
+func (d *Daemon) executeOrder(order tbfleet.Order) tbcodec.OrderResult {
+	start := time.Now()
+	var r tbcodec.OrderResult
+	var latencyName string
+	switch o := order.(type) {
+	case tbfleet.Start:
+		latencyName = latencyWorkerStart
+		a := d.adapter.Start(d.ctx, o)
+		r = tbcodec.OrderResult{Outcome: a.Outcome, Cause: a.Cause, ClockMs: a.ClockMs}
+	case tbfleet.Stop:
+		latencyName = latencyWorkerStop
+		r = tbcodec.OrderResult{Outcome: d.adapter.Stop(d.ctx, o).Outcome}
+	case tbfleet.Poll:
+		latencyName = latencyWorkerPoll
+		a := d.adapter.Poll(d.ctx, o)
+		r = tbcodec.OrderResult{
+			Outcome: a.Outcome, ClockMs: a.ClockMs, ActualIncarnation: a.ActualIncarnation, Partial: a.Partial, Running: a.Running, Ended: a.Ended,
+		}
+	case tbfleet.SetSpeed:
+		latencyName = latencyWorkerSpeed
+		r = tbcodec.OrderResult{Outcome: d.adapter.SetSpeed(d.ctx, o).Outcome}
+	}
+	d.counters.histograms.observe(latencyName, time.Since(start))
+	return r
+}
+
+func targetOf(order tbfleet.Order) (tbfleet.Target, time.Duration) {
+	switch o := order.(type) {
+	case tbfleet.Start:
+		return o.Target, o.Timeout
+	case tbfleet.Stop:
+		return o.Target, o.Timeout
+	case tbfleet.Poll:
+		return o.Target, o.Timeout
+	case tbfleet.SetSpeed:
+		return o.Target, o.Timeout
+	}
+	return tbfleet.Target{}, 0
+}
+
+// resultEvent returns the event that reports the result of an order.
+func resultEvent(o tbrelay.PendingOrder, r tbcodec.OrderResult) tbcontrol.Event {
+	switch order := o.Order.(type) {
+	case tbfleet.Start:
+		return tbcontrol.StartAnswered{Term: o.Term, Answer: tbfleet.StartAnswered{
+			Worker: order.Target.ID, Incarnation: order.Target.Incarnation, Ref: order.Ref, Run: order.Run, Outcome: r.Outcome, Cause: r.Cause, ClockMs: r.ClockMs,
+		}}
+	case tbfleet.Stop:
+		return tbcontrol.StopAnswered{Term: o.Term, Answer: tbfleet.StopAnswered{
+			Worker: order.Target.ID, Incarnation: order.Target.Incarnation, Ref: order.Ref, Run: order.Run, Outcome: r.Outcome,
+		}}
+	case tbfleet.SetSpeed:
+		return tbcontrol.SpeedAnswered{Term: o.Term, Answer: tbfleet.SpeedAnswered{
+			Worker: order.Target.ID, Incarnation: order.Target.Incarnation, Ref: order.Ref, Run: order.Run, Percent: order.Percent, Outcome: r.Outcome,
+		}}
+	}
+	order := o.Order.(tbfleet.Poll)
+	return tbcontrol.PollAnswered{Term: o.Term, Answer: tbfleet.PollAnswered{
+		Worker: order.Target.ID, Incarnation: order.Target.Incarnation, LastRecordedEnd: order.LastRecordedEnd, Outcome: r.Outcome,
+		// The answer shows the worker's state at some time after the order was issued.
+		SentAt: o.IssuedAt, ActualIncarnation: r.ActualIncarnation, ClockMs: r.ClockMs,
+		Running: r.Running, Ended: r.Ended, Partial: r.Partial,
+	}}
+}
