Count the age of an order from its decision

Cause: the age was counted from when the daemon passed the order on. A leader that was suspended after it had decided on the order, and before that, still sent it.

Change: the control role says when it issued the order.

Result: the new test fails without the change.

--- a/core/tbcontrol/flow.go
+++ b/core/tbcontrol/flow.go
@@ -330,7 +330,7 @@
 	}
 	out := c.leader.flow.fleet.TakeOutput()
 	for _, order := range out.Orders {
-		c.emit(SendOrder{Order: order, Term: c.replica.Term()})
+		c.emit(SendOrder{Order: order, Term: c.replica.Term(), IssuedAt: now})
 	}
 	for _, command := range out.Commands {
 		c.proposeFlowChange(command)
--- a/core/tbcontrol/leader_request.go
+++ b/core/tbcontrol/leader_request.go
@@ -177,6 +177,8 @@
 type SendOrder struct {
 	Order tbfleet.Order
 	Term  uint64
+	// IssuedAt is when the leader last confirmed that it may issue the order.
+	IssuedAt time.Time
 }
 
 func (AnswerLeaderRequest) isEffect() {}
--- a/io/tbdaemon/relay.go
+++ b/io/tbdaemon/relay.go
@@ -18,7 +18,8 @@
 // Timing of relayed orders.
 const (
 	// maxSendDelay is the longest time from when an order is issued until it is sent to the worker,
-	// by the leader or by a relay. A later order is not sent.
+	// by the leader, or passed to a relay. A relay sends it within maxSendDelay of the reading of its
+	// clock that the leader then has. A later order is not sent.
 	maxSendDelay = time.Second
 	// relayLinger is how long an order or a result waits for others, to share a message with them.
 	relayLinger = 2 * time.Millisecond
@@ -59,15 +60,16 @@
 		return
 	}
 	now := s.d.clock.Now()
+	isExpired := now.Sub(e.IssuedAt) > maxSendDelay
 	target, timeout := targetOf(e.Order)
-	o := tbrelay.PendingOrder{Order: e.Order, Term: e.Term, IssuedAt: now, Deadline: now.Add(timeout + relayMargin)}
+	o := tbrelay.PendingOrder{Order: e.Order, Term: e.Term, IssuedAt: e.IssuedAt, Deadline: now.Add(timeout + relayMargin)}
 	s.mu.Lock()
 	choice, ok := s.router.Choose(now, target.ID, target.DataCentre)
 	if s.router.WantsRelays() && s.cancel == nil {
 		s.startLocked()
 	}
 	b := s.batchers[choice.Address]
-	if ok && b != nil {
+	if ok && b != nil && !isExpired {
 		o.Relay, o.Issued = choice.Address, choice.Reading
 		o.ID = s.pending.Add(o)
 	}
--- a/io/tbdaemon/relay_test.go
+++ b/io/tbdaemon/relay_test.go
@@ -104,7 +104,7 @@
 }
 
 func startOrder(job string) tbcontrol.SendOrder {
-	return tbcontrol.SendOrder{Term: 3, Order: tbfleet.Start{
+	return tbcontrol.SendOrder{Term: 3, IssuedAt: time.Now(), Order: tbfleet.Start{
 		Target: tbfleet.Target{ID: "w-" + job, Address: "127.0.0.1:1", Incarnation: 5}, Ref: tbflow.TaskRef{Job: job}, Run: 1, Timeout: 300 * time.Millisecond,
 	}}
 }
@@ -246,3 +246,13 @@
 		Results: []*pb.RelayedResult{{Id: 12345, Outcome: 99}, {}},
 	}), qt.IsNil)
 }
+
+// The leader is suspended after it has decided on an order and before the order reaches its sender.
+func TestOrderAgeCountsFromItsDecision(t *testing.T) {
+	d, own, _ := newRelayDaemon(t, "leader")
+	order := startOrder("j")
+	order.IssuedAt = d.clock.Now().Add(-maxSendDelay - time.Millisecond)
+	d.orders.send(order)
+	qt.Check(t, nextStartAnswer(t, d).Outcome, qt.Equals, tbfleet.NotSent)
+	qt.Check(t, own.count(), qt.Equals, 0)
+}
