tbfleet: tell a crash of a worker from a worker that is only silent

The ends of runs at a crashed worker were logged as 'worker lost' and 'stopped', as after a lease that ended in silence or a stop, so that the hypotheses of docs/incidents/crashing-tasks.md could not be told apart. A crash is now a decision of its own in the log and in the counter 'decisions.worker crashed': a later incarnation or another worker has taken the place of an incarnation that was not draining. The line tells how many runs the worker may have been executing, unanswered starts included, and the shortest time that one of them is known to have executed.

--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -135,6 +135,9 @@
 	// confirmedAt is the later of two times: when the start was accepted, and when the newest poll
 	// was sent whose answer listed the run as running.
 	confirmedAt time.Time
+	// executingSince is when the first proof that the run is executing arrived: an accepted start, or a
+	// poll answer that lists the run.
+	executingSince time.Time
 	// stopRequested is true once the run is to be stopped.
 	stopRequested bool
 	// stopSentAt is when the stop was last ordered.
@@ -384,6 +387,7 @@
 // markReplaced marks a worker as replaced by another one at the same address. It gives up the runs
 // that are assigned to the current incarnation of the replaced worker.
 func (f *Fleet) markReplaced(now time.Time, w *Worker) {
+	f.handleCrash(w, "another worker answers at its address")
 	w.replaced, w.registered = true, false
 	w.leaseExpiresAt = now
 	f.giveUpRuns(now, w, "another worker answers at its address")
@@ -449,12 +453,13 @@
 // the new incarnation has a higher token, and once it has arrived, such orders are refused. Until
 // then, runs that no poll answer has listed are kept.
 func (f *Fleet) handleRestart(now time.Time, w *Worker, r Report) {
+	f.handleCrash(w, "a later incarnation answers")
 	var ends []tbflow.End
 	keptRuns := map[tbflow.TaskRef]*Run{}
 	for ref, run := range w.runs {
 		if run.mayBeAtLaterIncarnation() {
 			run.Phase, run.stopRequested, run.stopSentAt = RunUnconfirmed, false, time.Time{}
-			run.stopConfirmedAt = time.Time{}
+			run.stopConfirmedAt, run.executingSince = time.Time{}, time.Time{}
 			if run.earlierIncarnation == 0 {
 				run.earlierIncarnation = w.Incarnation
 			}
--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -105,6 +105,7 @@
 		w.LastHeardAt = now
 		if run.Phase == RunOrdered {
 			run.Phase, run.confirmedAt = RunExecuting, now
+			run.noteExecuting(now)
 		}
 	case Refused:
 		f.handleStartRefused(now, w, a, run)
--- a/core/tbfleet/poll.go
+++ b/core/tbfleet/poll.go
@@ -196,6 +196,7 @@
 			}
 		}
 		run.confirmedAt = maxTime(run.confirmedAt, a.SentAt)
+		run.noteExecuting(now)
 		if r.Progress != run.Progress || run.ProgressAt.IsZero() || run.Speed < FullSpeed || run.SpeedUnknown || run.speedUnconfirmed {
 			run.ProgressAt = now
 		}
