--- a/core/tbcontrol/group_test.go
+++ b/core/tbcontrol/group_test.go
@@ -52,6 +52,9 @@
 	lastRequest         uint64
 	// applyCost is the time that a replica needs to apply one entry.
 	applyCost time.Duration
+	// silenceTimeout is tbfleet.Params.SilenceTimeout of replicas that start from now on. 0 stands for one
+	// hour.
+	silenceTimeout time.Duration
 }
 
 const (
@@ -73,6 +76,10 @@
 }
 
 func (g *simulatedGroup) start(id tbconsensus.ReplicaID, address string, d *disk) *replica {
+	silenceTimeout := time.Hour
+	if g.silenceTimeout > 0 {
+		silenceTimeout = g.silenceTimeout
+	}
 	control, err := tbcontrol.New(tbcontrol.Config{
 		Consensus: tbconsensus.Config{
 			ID: id, ElectionTimeout: 600 * time.Millisecond, HeartbeatInterval: 100 * time.Millisecond,
@@ -82,7 +89,7 @@
 		Placement: tbplacement.DefaultConfig(), GroupSize: groupSize,
 		Fleet: tbfleet.Params{
 			Lease: 4 * time.Second, MaxLease: 6 * time.Second, MaxOrderDelay: 12 * time.Second, ClockRateBound: 0.02,
-			PollWait: time.Second, OrderTimeout: time.Second, SilenceTimeout: time.Hour, PollRetryDelay: time.Second,
+			PollWait: time.Second, OrderTimeout: time.Second, SilenceTimeout: silenceTimeout, PollRetryDelay: time.Second,
 		},
 	}, tbcodec.New(func(source []byte) (tbbundle.Bundle, error) { return tbbundlefile.Parse("bundle", source) }), d.persisted, g.now)
 	qt.Assert(g.t, err, qt.IsNil)
