Weigh the suspects of a crash by the age of their runs

All unproven runs on a crashed worker were equal suspects, so that a busy worker pointed at five jobs at once and most jobs were given up only at the fourth crash. A task that crashes its worker at once has begun some milliseconds before the crash, and the connections that the worker closes tell when that was. The share of the suspicion now follows the age of the run at the crash, or the difference to its age at an earlier crash. The machine is a suspect, too.

A worker is closed for at most 2 s because of one suspect.

--- a/core/tbcontrol/decision_log.go
+++ b/core/tbcontrol/decision_log.go
@@ -149,7 +149,9 @@
 		}
 		runText := newRunText(r.Ref, r.Run, command.Worker)
 		runText = appendNumber(runText, "ranMs", r.RanMs)
+		runText = appendNumber(runText, "ageMs", r.AgeMs)
 		runText = appendNumber(runText, "suspects", int64(last.Suspects))
+		runText = appendNumber(runText, "suspicionPermille", int64(last.SuspicionPermille))
 		runText = appendNumber(runText, "crashes", int64(tbflow.SuspectedCrashes(crashes)))
 		c.pendingLogLines.addRunText(runLineKey{message: "worker crashed under run", job: j.ID, index: index}, runText)
 		if j.Phase == tbflow.Failed && tbflow.MustGiveUp(crashes) && !givenUp[j.ID] {
@@ -165,8 +167,8 @@
 func crashTexts(crashes []tbflow.Crash) []string {
 	var texts []string
 	for _, crash := range crashes {
-		texts = append(texts, fmt.Sprintf("run=%d worker=%s address=%s at=%s ranMs=%d suspects=%d",
-			crash.Run, crash.Worker, crash.Address, time.UnixMilli(crash.AtMs).UTC().Format(time.RFC3339Nano), crash.RanMs, crash.Suspects))
+		texts = append(texts, fmt.Sprintf("run=%d worker=%s address=%s at=%s ranMs=%d suspects=%d suspicionPermille=%d",
+			crash.Run, crash.Worker, crash.Address, time.UnixMilli(crash.AtMs).UTC().Format(time.RFC3339Nano), crash.RanMs, crash.Suspects, crash.SuspicionPermille))
 	}
 	return texts
 }
--- a/core/tbfleet/crash.go
+++ b/core/tbfleet/crash.go
@@ -40,7 +40,7 @@
 // forgetRunTime forgets what is known of an execution, because the worker has restarted.
 func (r *Run) forgetRunTime() {
 	r.executingSinceMs, r.executingUntilMs, r.isConfirmed = 0, 0, false
-	r.earlierRunTime, r.timeBeforeTerm = 0, 0
+	r.earlierRunTime, r.timeBeforeTerm, r.acceptedAt = 0, 0, time.Time{}
 }
 
 // handleCrash handles the proof that the current incarnation of a worker has ended: a later
@@ -70,15 +70,34 @@
 	var runs []tbflow.CrashedRun
 	for ref, r := range w.runs {
 		if r.Phase != RunEnding && r.earlierIncarnation == 0 {
-			runs = append(runs, r.crashed(ref))
+			runs = append(runs, w.crashedRun(ref, r))
 		}
 	}
 	sortCrashedRuns(runs)
 	return runs
 }
 
-func (r *Run) crashed(ref tbflow.TaskRef) tbflow.CrashedRun {
-	return tbflow.CrashedRun{Ref: ref, Run: r.Number, RanMs: r.KnownRunTime().Milliseconds(), Unconfirmed: !r.isConfirmed}
+// crashedRun describes a run that the worker may have been executing when it crashed.
+func (w *Worker) crashedRun(ref tbflow.TaskRef, r *Run) tbflow.CrashedRun {
+	c := tbflow.CrashedRun{Ref: ref, Run: r.Number, RanMs: r.KnownRunTime().Milliseconds(), Unconfirmed: !r.isConfirmed}
+	if !r.acceptedAt.IsZero() && !w.disconnectedAt.Before(r.acceptedAt) {
+		c.AgeMs = max(1, w.disconnectedAt.Sub(r.acceptedAt).Milliseconds())
+	}
+	return c
+}
+
+// noteAccepted records when the worker is first known to have executed the run.
+func (r *Run) noteAccepted(at time.Time) {
+	if r.acceptedAt.IsZero() {
+		r.acceptedAt = at
+	}
+}
+
+// noteDisconnect records that the worker has closed a connection instead of answering.
+func (w *Worker) noteDisconnect(now time.Time) {
+	if w.disconnectedAt.IsZero() {
+		w.disconnectedAt = now
+	}
 }
 
 // sortCrashedRuns sorts runs by their tasks.
@@ -142,6 +161,10 @@
 // A worker gets no other task while a task with crashes is observed there, so that the next crash shows
 // which task is the cause, and costs no other run.
 
+// maxClosedTime is the longest time that a worker is closed because of one run. Longer observations go on
+// beside other tasks.
+const maxClosedTime = 2 * time.Second
+
 // MaxObservingShare is the largest share of the workers of a class that are closed to other tasks at the
 // same time. One worker may always be closed.
 const MaxObservingShare = 0.125
@@ -154,7 +177,7 @@
 	}
 	run.observation = tbflow.ObservationTime(crashes)
 	if tbflow.SuspectedCrashes(crashes) > 0 && f.mayObserve(now, w.Class) {
-		run.observedUntil = assignedAt.Add(run.observation)
+		run.observedUntil = assignedAt.Add(min(run.observation, maxClosedTime))
 		w.ObservedUntil = maxTime(w.ObservedUntil, run.observedUntil)
 	}
 }
--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -97,6 +97,9 @@
 	// unackedEndCount is the number of ends in the last poll answer that were already recorded, but
 	// not yet acknowledged.
 	unackedEndCount int
+	// disconnectedAt is when the worker first closed a connection since it last answered a poll, or zero. If
+	// the worker has crashed, it did so then.
+	disconnectedAt time.Time
 	// lostRuns are the runs that were given up in silence, as long as this incarnation stays silent.
 	lostRuns []tbflow.CrashedRun
 	runs     map[tbflow.TaskRef]*Run
@@ -144,6 +147,8 @@
 	// isConfirmed is true if the worker is known to have received the start: it has accepted the start,
 	// listed the run, or closed the connection instead of answering.
 	isConfirmed bool
+	// acceptedAt is when the worker is first known to have executed the run, or zero.
+	acceptedAt time.Time
 	// executingSinceMs and executingUntilMs are the first and the newest time, on the worker's clock, at
 	// which the run is known to have been executing. Both are 0 if there is none. earlierRunTime is how long
 	// the run is known to have executed before this leader's term, and timeBeforeTerm how long it was
@@ -232,7 +237,7 @@
 			age := time.Duration(s.NowMs-t.AssignedMs) * time.Millisecond
 			run.restoreRunTime(age, f.params.MaxLease)
 			if t.Incarnation < w.Incarnation {
-				earlierRuns[t.Incarnation] = append(earlierRuns[t.Incarnation], run.crashed(ref))
+				earlierRuns[t.Incarnation] = append(earlierRuns[t.Incarnation], w.crashedRun(ref, run))
 			} else {
 				f.observe(now, now.Add(-age), w, run, s.Crashes[ref])
 			}
@@ -442,7 +447,7 @@
 		if r.Phase == RunEnding || r.earlierIncarnation != 0 || !w.replaced && r.mayBeAtLaterIncarnation() && now.Before(f.latestRunEnd(w, r)) {
 			continue
 		}
-		lost = append(lost, r.crashed(ref))
+		lost = append(lost, w.crashedRun(ref, r))
 		r.Phase = RunEnding
 		cmd.Ends = append(cmd.Ends, tbflow.End{Ref: ref, Run: r.Number, Kind: tbflow.EndStopped, Checkpoint: r.Checkpoint})
 	}
--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -107,6 +107,7 @@
 		if run.Phase == RunOrdered {
 			run.Phase, run.confirmedAt = RunExecuting, now
 			run.noteExecuting(a.ClockMs)
+			run.noteAccepted(now)
 		}
 	case Refused:
 		f.handleStartRefused(now, w, a, run)
@@ -120,7 +121,11 @@
 		if run.Phase == RunOrdered {
 			run.Phase, run.stopRequested = RunUnconfirmed, true
 		}
-		run.isConfirmed = run.isConfirmed || a.Cause == CauseDisconnected
+		if a.Cause == CauseDisconnected {
+			run.isConfirmed = true
+			run.noteAccepted(run.startSentAt)
+			w.noteDisconnect(now)
+		}
 		w.AvoidUntil = maxTime(w.AvoidUntil, now.Add(failedStartBackoff))
 	}
 	f.reconcile(now, w)
@@ -151,12 +156,12 @@
 	f.proposeNeverRan(w, w.Incarnation, a.Ref, run)
 }
 
-// Causes that HandleStartAnswered tells from others.
+// Causes that the fleet tells from others.
 const (
 	// CauseNoRoom is the cause of a refusal for lack of capacity.
 	CauseNoRoom = "noRoom"
-	// CauseDisconnected is the cause of an unconfirmed start if the worker closed the connection before it
-	// answered.
+	// CauseDisconnected is the cause of an unconfirmed start or poll if the worker closed the connection
+	// before it answered.
 	CauseDisconnected = "disconnected"
 )
 
--- a/core/tbfleet/poll.go
+++ b/core/tbfleet/poll.go
@@ -127,6 +127,9 @@
 			f.output.LogEvents = append(f.output.LogEvents, LogEvent{Message: "worker does not answer", Worker: w.ID, Inputs: w.leaseLogInputs(now)})
 		}
 		w.Unresponsive = true
+		if a.Cause == CauseDisconnected {
+			w.noteDisconnect(now)
+		}
 		// The failed poll may still be executed, even after a later poll was answered.
 		w.fenceOffAck()
 		w.nextPollAt = now.Add(f.params.PollRetryDelay)
@@ -149,6 +152,7 @@
 		w.ackInFlight = false
 	}
 	w.LastHeardAt = now
+	w.disconnectedAt = time.Time{}
 	f.forgetLost(w)
 	w.nextPollAt = time.Time{}
 	w.lastClockReading.update(now, a.SentAt, a.ClockMs, f.params.ClockRateBound)
--- a/core/tbfleet/types.go
+++ b/core/tbfleet/types.go
@@ -210,6 +210,8 @@
 	SentAt          time.Time
 	LastRecordedEnd uint64
 	Outcome         Outcome
+	// Cause says why there was no answer. CauseDisconnected means that the worker closed the connection.
+	Cause string
 	// ActualIncarnation is the incarnation that answered.
 	ActualIncarnation int64
 	// ClockMs is the answering worker's monotonic clock in milliseconds, or 0 if not given.
--- a/core/tbflow/crash.go
+++ b/core/tbflow/crash.go
@@ -1,7 +1,6 @@
 package tbflow
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -11,8 +10,8 @@
 //
 // What tells a harmful task from the others is that these run well on other workers. The state therefore
 // records the crashes under each task. A run is unproven until it has executed for ObservationTime. Only
-// unproven runs are suspects of a crash, and the fewer jobs are suspects, the more the crash says. A
-// suspect starts apart from other unproven runs (tbassign), so that its next crash says more. A job is
+// unproven runs are suspects of a crash. A crash points at the runs that began just before it, and the
+// fewer jobs are suspects, the more it says. A suspect starts apart from other unproven runs (tbassign), so that its next crash says more. A job is
 // given up after several crashes under one of its tasks, on different machines.
 
 // Bounds of the time that a run is observed, and crashes after which a job is given up.
@@ -38,10 +37,13 @@
 	AtMs int64
 	// RanMs is how long the run is known to have executed, in milliseconds.
 	RanMs int64
-	// Suspects is the number of jobs with an unproven run on the worker. The machine is counted, too, if it
-	// has crashed before lately, or if it is not known that this run was executing. Suspects is 0 if this
-	// run was proven.
+	// AgeMs is CrashedRun.AgeMs.
+	AgeMs int64
+	// Suspects is the number of jobs with an unproven run on the worker. It is 0 if this run was proven.
 	Suspects int
+	// SuspicionPermille is the share of the suspicion that falls on the job of the task, in thousandths. The
+	// rest falls on the other suspects and on the machine.
+	SuspicionPermille int
 }
 
 // CrashedRun is a run that may have been executing when its worker crashed or was last heard from.
@@ -50,6 +52,9 @@
 	Run uint64
 	// RanMs is how long the run is known to have executed, in milliseconds.
 	RanMs int64
+	// AgeMs is the time from the first proof that the run was executing to the crash, in milliseconds, or 0
+	// if that is unknown.
+	AgeMs int64
 	// Unconfirmed is true if it is not known that the worker has received the start.
 	Unconfirmed bool
 }
@@ -109,33 +114,69 @@
 	return n
 }
 
-// suspicionToGiveUp holds, by the number of suspected crashes of one task, the suspicion at which its job
-// is given up.
-var suspicionToGiveUp = map[int]float64{3: 2, 4: 1}
+// permilleToGiveUp holds, by the number of suspected crashes of one task, the suspicion at which its job is
+// given up, in thousandths.
+var permilleToGiveUp = map[int]int{3: 2000, 4: 1000}
 
 // MustGiveUp reports whether the job of a task with these crashes is given up.
 func MustGiveUp(crashes []Crash) bool {
 	n := SuspectedCrashes(crashes)
-	threshold, ok := suspicionToGiveUp[n]
-	return n >= maxCrashes || ok && suspicion(crashes) >= threshold
+	threshold, ok := permilleToGiveUp[n]
+	return n >= maxCrashes || ok && suspicionPermille(crashes) >= threshold
 }
 
-// suspicion returns how much the crashes point at a task. With k suspects, a crash adds 1/k. Only
-// the most telling crash of each machine counts, because a machine may crash by itself again and again.
-func suspicion(crashes []Crash) float64 {
-	byAddress := map[string]float64{}
+// suspicionPermille returns how much the crashes point at a task, in thousandths. Only the most telling
+// crash of each machine counts, because a machine may crash by itself again and again.
+func suspicionPermille(crashes []Crash) int {
+	byAddress := map[string]int{}
 	for i := range crashes {
-		if c := &crashes[i]; c.Suspects > 0 {
-			byAddress[c.Address] = max(byAddress[c.Address], 1/float64(c.Suspects))
-		}
+		c := &crashes[i]
+		byAddress[c.Address] = max(byAddress[c.Address], c.SuspicionPermille)
 	}
-	sum := 0.0
-	for _, address := range slices.Sorted(maps.Keys(byAddress)) {
-		sum += byAddress[address]
+	sum := 0
+	for _, share := range byAddress {
+		sum += share
 	}
 	return sum
 }
 
+// Weights of the suspects of a crash. They are integers, so that all replicas compute the same.
+const (
+	// A run with the age ageMs at the crash has the weight weightOfAge / (ageMs + ageOffsetMs).
+	weightOfAge = 1_000_000
+	ageOffsetMs = 50
+	// unknownAgeMs is the assumed age of a run whose age is unknown, and machineAgeMs that of the machine as
+	// a suspect.
+	unknownAgeMs = 500
+	machineAgeMs = 1000
+	// maxEarlierCrashes bounds the earlier crashes of the machine, each of which makes it more suspect.
+	maxEarlierCrashes = 3
+)
+
+func weightAtAge(ageMs int64) int { return int(weightOfAge / (max(0, ageMs) + ageOffsetMs)) }
+
+// weight returns the weight of a run among the suspects of a crash, given the earlier crashes of its task.
+// The age counts in relation to the observation time, because a task that was observed for longer takes
+// longer to crash its worker. A task that crashes its workers late and at the same age again counts as
+// if its run had just begun.
+func (r *CrashedRun) weight(crashes []Crash) int {
+	if r.AgeMs == 0 {
+		return weightAtAge(unknownAgeMs)
+	}
+	age := r.AgeMs * minObservation.Milliseconds() / ObservationTime(crashes).Milliseconds()
+	for i := range crashes {
+		if earlier := crashes[i].AgeMs; earlier >= minObservation.Milliseconds() {
+			age = min(age, max(r.AgeMs, earlier)-min(r.AgeMs, earlier))
+		}
+	}
+	return weightAtAge(age)
+}
+
+// machineWeight returns the weight of the machine among the suspects of a crash.
+func (c *RecordCrash) machineWeight() int {
+	return weightAtAge(machineAgeMs) * (1 + max(0, min(c.EarlierCrashes, maxEarlierCrashes)))
+}
+
 func (s *State) recordCrash(c RecordCrash) {
 	if l, ok := s.Lost[c.Worker]; ok && l.Incarnation <= c.Incarnation {
 		delete(s.Lost, c.Worker)
@@ -143,30 +184,34 @@
 	if w := s.Workers[c.Worker]; w != nil && w.Incarnation == c.Incarnation && w.Draining {
 		return
 	}
-	var involved, suspects []CrashedRun
-	suspectJobs := map[string]bool{}
+	var involved []CrashedRun
+	weights, weightByJob, totalWeight := map[TaskRef]int{}, map[string]int{}, c.machineWeight()
 	for _, r := range c.Runs {
 		t := s.task(r.Ref)
 		if t == nil || t.Phase == TaskDone || t.Run < r.Run {
 			continue
 		}
 		involved = append(involved, r)
-		if time.Duration(r.RanMs)*time.Millisecond < ObservationTime(s.Crashes[r.Ref]) {
-			suspects = append(suspects, r)
-			suspectJobs[r.Ref.Job] = true
+		crashes := s.Crashes[r.Ref]
+		if time.Duration(r.RanMs)*time.Millisecond < ObservationTime(crashes) {
+			weights[r.Ref] = r.weight(crashes)
+			weightByJob[r.Ref.Job] += weights[r.Ref]
+			totalWeight += weights[r.Ref]
 		}
 	}
 	for _, r := range involved {
-		crash := Crash{Worker: c.Worker, Incarnation: c.Incarnation, Address: c.Address, Run: r.Run, AtMs: s.NowMs, RanMs: r.RanMs}
-		if slices.Contains(suspects, r) {
-			crash.Suspects = len(suspectJobs)
-			if r.Unconfirmed || c.EarlierCrashes > 0 {
-				crash.Suspects++
+		crash := Crash{Worker: c.Worker, Incarnation: c.Incarnation, Address: c.Address, Run: r.Run, AtMs: s.NowMs, RanMs: r.RanMs, AgeMs: r.AgeMs}
+		if weight, isSuspect := weights[r.Ref]; isSuspect {
+			total := totalWeight
+			if r.Unconfirmed {
+				// The worker may have crashed before the start arrived.
+				total += weight
 			}
+			crash.Suspects, crash.SuspicionPermille = len(weightByJob), 1000*weightByJob[r.Ref.Job]/total
 		}
 		s.addCrash(r.Ref, crash)
 	}
-	for _, r := range suspects {
+	for _, r := range involved {
 		if j := s.Jobs[r.Ref.Job]; !j.Phase.Ended() && MustGiveUp(s.Crashes[r.Ref]) {
 			s.endJob(j, Failed)
 		}
--- a/io/tbdaemon/orders.go
+++ b/io/tbdaemon/orders.go
@@ -26,7 +26,7 @@
 		latencyName = latencyWorkerPoll
 		a := d.adapter.Poll(d.ctx, o)
 		r = tbcodec.OrderResult{
-			Outcome: a.Outcome, ClockMs: a.ClockMs, ActualIncarnation: a.ActualIncarnation, Partial: a.Partial, Running: a.Running, Ended: a.Ended,
+			Outcome: a.Outcome, Cause: a.Cause, ClockMs: a.ClockMs, ActualIncarnation: a.ActualIncarnation, Partial: a.Partial, Running: a.Running, Ended: a.Ended,
 		}
 	case tbfleet.SetSpeed:
 		latencyName = latencyWorkerSpeed
@@ -71,6 +71,6 @@
 		Worker: order.Target.ID, Incarnation: order.Target.Incarnation, LastRecordedEnd: order.LastRecordedEnd, Outcome: r.Outcome,
 		// The answer shows the worker's state at some time after the order was issued.
 		SentAt: o.IssuedAt, ActualIncarnation: r.ActualIncarnation, ClockMs: r.ClockMs,
-		Running: r.Running, Ended: r.Ended, Partial: r.Partial,
+		Running: r.Running, Ended: r.Ended, Partial: r.Partial, Cause: r.Cause,
 	}}
 }
