Keep to the capacity of workers while it changes

A worker's capacity may shrink and grow, and some workers start whatever they are ordered to start.

Where workers do not enforce their capacity, one gets tasks only if it has reported lately, by its own clock, as reports may be late.

--- a/core/tbassign/considered_workers.go
+++ b/core/tbassign/considered_workers.go
@@ -96,12 +96,21 @@
 	return named
 }
 
-// addWorker adds a worker and returns true, if the worker is registered and usable.
+// addWorker adds a worker and returns true, if the worker is registered and usable. A worker that does not
+// refuse tasks that exceed its capacity also has to have reported its capacity lately.
 func (p *planState) addWorker(f *tbfleet.Fleet, w *tbfleet.Worker) bool {
-	if w == nil || !f.Usable(w, p.now) {
+	if w == nil || !f.Usable(w, p.now) || !p.state.Config.EnforcesCapacity(w.Class) && !f.KnowsCapacity(w, p.now) {
 		return false
 	}
 	use := p.state.Usage(w.ID)
+	for _, ref := range w.Strays {
+		step := p.state.StepOf(ref)
+		if step == nil {
+			// The stray occupies an unknown capacity.
+			return false
+		}
+		use.Add(step)
+	}
 	b := &p.learner.planBuffers
 	b.states = b.states[:len(b.states)+1]
 	r := &b.states[len(b.states)-1]
--- a/core/tbcontrol/reads_test.go
+++ b/core/tbcontrol/reads_test.go
@@ -18,6 +18,8 @@
 	config := tbflow.Config{
 		Version: 2, Source: []byte("source"),
 		Queues: []tbflow.Queue{{Name: "q", Key: tbflow.QueueKey{Host: "h", Prefix: "/q/"}, WorkerClass: "c", MaxFailures: 2, Slack: 2}},
+		// A worker that enforces its capacity gets tasks without a report to the present leader.
+		Classes: []tbflow.WorkerClass{{Name: "c", EnforcesCapacity: true}},
 	}
 	qt.Assert(t, g.ask(tbcontrol.ConfigPutRequested{Config: config}).Answer.Code, qt.Equals, tbcontrol.Done)
 	g.ask(tbcontrol.WorkerReported{Report: tbfleet.Report{
--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -48,6 +48,12 @@
 	Failures int
 	// AvoidUntil is the time before which the worker gets no new tasks.
 	AvoidUntil time.Time
+	// CapacityKnownAt is when the worker sent the newest report that this leader has received, as late as it
+	// is certain. The worker's capacity may have changed since. It is zero before the first report.
+	CapacityKnownAt time.Time
+	// Strays are the tasks that the worker executes without an assignment, as far as the last poll answer
+	// tells. They are being stopped, and occupy capacity until they have ended.
+	Strays []tbflow.TaskRef
 	// ObservedUntil is the time before which the worker gets no new tasks because a task that may crash
 	// workers is observed there. It is zero if none is.
 	ObservedUntil time.Time
@@ -403,11 +409,27 @@
 	w.Draining = r.Draining || wasDraining
 	w.registered = true
 	w.LastHeardAt = now
+	w.CapacityKnownAt = w.sentAt(now, r, f.params.ClockRateBound)
 	w.lastClockReading.update(now, time.Time{}, r.ClockMs, f.params.ClockRateBound)
 	f.reconcile(now, w)
 	return true
 }
 
+// sentAt returns when a report that arrives now was sent, as far as the worker's clock tells. A report may
+// be delayed, and the capacity in it may be outdated.
+func (w *Worker) sentAt(now time.Time, r Report, rateBound float64) time.Time {
+	clockMs, ok := w.lastClockReading.lowestPossibleMs(now, rateBound)
+	if !ok || r.ClockMs == 0 {
+		return now
+	}
+	return now.Add(-time.Duration(max(0, clockMs-r.ClockMs)) * time.Millisecond)
+}
+
+// KnowsCapacity reports whether the worker has reported its capacity lately.
+func (f *Fleet) KnowsCapacity(w *Worker, now time.Time) bool {
+	return now.Sub(w.CapacityKnownAt) < f.params.SilenceTimeout
+}
+
 // HandleSignOff handles the message that a drained worker has signed off.
 //
 // The message does not name the incarnation. If the worker is not draining, it has restarted since
--- a/core/tbfleet/poll.go
+++ b/core/tbfleet/poll.go
@@ -173,9 +173,11 @@
 // recording them is not worth the log entries.
 func (f *Fleet) updateListedRuns(now time.Time, w *Worker, a PollAnswered) {
 	var firstListed []tbflow.RunRef
+	w.Strays = w.Strays[:0]
 	for _, r := range a.Running {
 		run := w.runs[r.Ref]
 		if run == nil || run.Number != r.Run {
+			w.Strays = append(w.Strays, r.Ref)
 			if run == nil || run.Number > r.Run {
 				f.output.LogEvents = append(f.output.LogEvents, LogEvent{
 					Message: "run is not assigned", Worker: w.ID, Ref: r.Ref, Run: r.Run, Inputs: w.leaseLogInputs(now),
--- a/core/tbflow/config.go
+++ b/core/tbflow/config.go
@@ -77,6 +77,13 @@
 		slices.ContainsFunc(c.Queues, func(q Queue) bool { return q.WorkerClass == name })
 }
 
+// EnforcesCapacity reports whether the workers of a class refuse tasks that exceed their capacity. It
+// returns false for a class that is not listed.
+func (c *Config) EnforcesCapacity(class string) bool {
+	i := slices.IndexFunc(c.Classes, func(w WorkerClass) bool { return w.Name == class })
+	return i >= 0 && c.Classes[i].EnforcesCapacity
+}
+
 // Queue returns the queue with the given key, or nil if there is none.
 func (c *Config) Queue(key QueueKey) *Queue {
 	for i := range c.Queues {
--- a/core/tbflow/state.go
+++ b/core/tbflow/state.go
@@ -349,6 +349,9 @@
 	s.usageByWorker[t.Worker] = u
 }
 
+// Add adds the capacity that one task of a step occupies.
+func (u *Usage) Add(step *Step) { u.addNeed(step, 1) }
+
 func (u *Usage) addNeed(step *Step, sign int64) {
 	u.Reserved.MemoryMB += sign * step.Need.MemoryMB
 	u.Reserved.Accelerators += sign * step.Need.Accelerators
