Fail batch jobs that crash the workers that start them

The same class of fault as for multi-step jobs: a later incarnation of a worker queued all its tasks again, without a count, so that a batch job that crashes its workers was started without end. Crashes in a row are now counted in the job, and those on which no other task was young.

Looked at and left: a call of the own interface is sent to 4 runners at most (maxAttempts), and one with a key that is not idempotent to a single one, so that it cannot crash runner after runner.

--- a/core/tbstate/types.go
+++ b/core/tbstate/types.go
@@ -60,6 +60,7 @@
 	EvictedForDrain               Reason = "evictedForDrain"
 	WorkerLost                    Reason = "workerLost"
 	TooManyFailures               Reason = "tooManyFailures"
+	CrashedWorkers                Reason = "crashedWorkers"
 	CancelledByOperator           Reason = "cancelled"
 	EntryLost                     Reason = "entryLost"
 )
@@ -218,6 +219,10 @@
 	Requeues int
 	// Failures counts the failed runs.
 	Failures int
+	// Crashes counts the latest workers in a row that crashed soon after they started the task. SoleCrashes
+	// counts those of them on which no other task was young.
+	Crashes     int
+	SoleCrashes int
 	// Cancelled is true if the job must not be queued again once its task has stopped.
 	Cancelled bool
 	// RanLong is true once the job was evicted after exceeding ShortBound of the planner. The planner
--- a/core/tbstate/workers.go
+++ b/core/tbstate/workers.go
@@ -23,6 +23,9 @@
 	added := c.Worker
 	if existing != nil {
 		// The tasks of the previous incarnation ended with that incarnation.
+		if existing.Phase != WorkerDraining {
+			s.countCrash(existing.ID)
+		}
 		s.requeueAll(existing.ID, WorkerLost)
 		added.ConsecutiveFailures = existing.ConsecutiveFailures
 		added.BackoffUntilMs = existing.BackoffUntilMs
--- a/io/tbcodec/record.go
+++ b/io/tbcodec/record.go
@@ -84,7 +84,7 @@
 		Worker: j.Worker, WorkerIncarnation: j.WorkerIncarnation, Epoch: j.Run, Checkpoint: j.Checkpoint,
 		Evictions: uint32(j.Requeues), Failures: uint32(j.Failures), Cancelled: j.Cancelled, LongClass: j.RanLong,
 		SubmittedMs: j.SubmittedMs, StartedMs: j.StartedMs, EndedMs: j.EndedMs, RanMs: uint64(j.RanMs),
-		Seq: j.Seq, Changed: j.Changed,
+		Seq: j.Seq, Changed: j.Changed, Crashes: uint32(j.Crashes), SoleCrashes: uint32(j.SoleCrashes),
 	}
 }
 
@@ -97,7 +97,7 @@
 		Worker: m.GetWorker(), WorkerIncarnation: m.GetWorkerIncarnation(), Run: m.GetEpoch(), Checkpoint: m.GetCheckpoint(),
 		Requeues: int(m.GetEvictions()), Failures: int(m.GetFailures()), Cancelled: m.GetCancelled(), RanLong: m.GetLongClass(),
 		SubmittedMs: m.GetSubmittedMs(), StartedMs: m.GetStartedMs(), EndedMs: m.GetEndedMs(), RanMs: int64(m.GetRanMs()),
-		Seq: m.GetSeq(), Changed: m.GetChanged(),
+		Seq: m.GetSeq(), Changed: m.GetChanged(), Crashes: int(m.GetCrashes()), SoleCrashes: int(m.GetSoleCrashes()),
 	}
 }
 
