Hold a suspect of three crashes until its silent worker is known to have crashed

If a worker comes back later than its lease, the run is started again before its crash is known, so that one more worker may crash than the count says.

--- a/core/tbassign/suspects.go
+++ b/core/tbassign/suspects.go
@@ -22,6 +22,10 @@
 // unproven runs.
 const suspectWait = time.Second
 
+// crashesToAwaitLost is the number of suspected crashes from which a task also waits until it is known
+// whether the silent worker of its last run has crashed, or until that worker is removed.
+const crashesToAwaitLost = 3
+
 // maxContactAge is the time since the last contact after which a worker may be gone without notice. Polls
 // are answered, and reports are sent, about every second.
 const maxContactAge = 1200 * time.Millisecond
@@ -34,6 +38,9 @@
 	if suspectedCrashes == 0 {
 		return nil, false
 	}
+	if suspectedCrashes >= crashesToAwaitLost && p.state.IsLost(ref) {
+		return nil, true
+	}
 	best := p.bestForSuspect(w, t, crashes)
 	mayWait := suspectedCrashes > 1 && p.state.NowMs-t.WaitingSinceMs < suspectWait.Milliseconds()
 	if mayWait && (best.r == nil || best.unproven > 0 || best.crashedHere) {
--- a/core/tbflow/crash.go
+++ b/core/tbflow/crash.go
@@ -244,6 +244,17 @@
 	}
 }
 
+// IsLost reports whether a run of a task was lost in silence, and it is not known yet whether its worker
+// has crashed.
+func (s *State) IsLost(ref TaskRef) bool {
+	for _, l := range s.Lost {
+		if slices.ContainsFunc(l.Runs, func(r CrashedRun) bool { return r.Ref == ref }) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *State) recordProven(c RecordProven) {
 	for _, r := range c.Runs {
 		if t := s.task(r.Ref); t != nil && t.Phase == TaskAssigned && t.Run == r.Run {
