Do not end the leader when it plans a job with extreme numbers

The same class of fault in our own processes: an accepted job is planned by each leader, so that a job that ends the leader's process ends one leader after the other. Found by a search for it: markPostponed removed steps until their work fits, and went on with an empty list when rounding or an overflow left work that belongs to no step. It then read behind the end of the list.

--- a/core/tbassign/overload.go
+++ b/core/tbassign/overload.go
@@ -40,7 +40,8 @@
 		for _, w := range stepsOfImage {
 			selectedSteps = append(selectedSteps, w)
 			selectedWork += w.occurrenceWork
-			for selectedWork/workPerSecond*1000 > float64(w.deadlineMs-nowMs) {
+			// Rounding may leave some work although no step is selected.
+			for len(selectedSteps) > 0 && selectedWork/workPerSecond*1000 > float64(w.deadlineMs-nowMs) {
 				largestIndex := 0
 				for i := range selectedSteps {
 					if selectedSteps[i].occurrenceWork > selectedSteps[largestIndex].occurrenceWork {
