--- a/core/tbassign/suspects.go
+++ b/core/tbassign/suspects.go
@@ -54,7 +54,7 @@
 
 // closeWorker closes a worker to the other tasks of the plan, unless the plan has closed too many.
 func (p *planState) closeWorker(r *workerState, class string) {
-	if p.closedWorkers == 0 || float64(p.closedWorkers+1) <= tbfleet.MaxObservingShare*float64(len(p.workersByClass[class])) {
+	if p.closedWorkers == 0 || float64(p.closedWorkers+1) <= tbfleet.MaxClosedShare*float64(len(p.workersByClass[class])) {
 		r.closed = true
 		p.closedWorkers++
 	}
--- a/core/tbfleet/crash.go
+++ b/core/tbfleet/crash.go
@@ -8,41 +8,6 @@
 	"tamarackbarrow/core/tbflow"
 )
 
-// KnownRunTime returns how long the run is known to have executed. It is measured on the worker's clock
-// from the first proof that the run was executing to the newest one.
-func (r *Run) KnownRunTime() time.Duration {
-	return r.earlierRunTime + time.Duration(r.executingUntilMs-r.executingSinceMs)*time.Millisecond
-}
-
-// restoreRunTime sets what a new leader knows of a run that was assigned some time ago. The earlier leader
-// has renewed the lease of the worker, so that the run was executing at most a lease ago. If the worker
-// lists the run, it has most probably executed it since its assignment.
-func (r *Run) restoreRunTime(sinceAssignment, lease time.Duration) {
-	r.timeBeforeTerm = sinceAssignment
-	if sinceAssignment > lease {
-		r.earlierRunTime, r.isConfirmed = sinceAssignment-lease, true
-	}
-}
-
-// noteExecuting records that the run was executing when the worker's clock showed clockMs. It is 0 if the
-// worker gave no time.
-func (r *Run) noteExecuting(clockMs int64) {
-	r.isConfirmed = true
-	if clockMs == 0 {
-		return
-	}
-	if r.executingSinceMs == 0 {
-		r.executingSinceMs, r.earlierRunTime = clockMs, r.timeBeforeTerm
-	}
-	r.executingUntilMs = max(r.executingUntilMs, clockMs)
-}
-
-// forgetRunTime forgets what is known of an execution, because the worker has restarted.
-func (r *Run) forgetRunTime() {
-	r.executingSinceMs, r.executingUntilMs, r.isConfirmed = 0, 0, false
-	r.earlierRunTime, r.timeBeforeTerm, r.acceptedAt = 0, 0, time.Time{}
-}
-
 // handleCrash handles the proof that the current incarnation of a worker has ended: a later
 // incarnation or another worker has taken its place. The end of a draining worker is not a crash.
 //
@@ -86,13 +51,6 @@
 	return c
 }
 
-// noteAccepted records when the worker is first known to have executed the run.
-func (r *Run) noteAccepted(at time.Time) {
-	if r.acceptedAt.IsZero() {
-		r.acceptedAt = at
-	}
-}
-
 // noteDisconnect records that the worker has closed a connection instead of answering.
 func (w *Worker) noteDisconnect(now time.Time) {
 	if w.disconnectedAt.IsZero() {
@@ -157,81 +115,3 @@
 		}
 	}
 }
-
-// A worker gets no other task while a task with crashes is observed there, so that the next crash shows
-// which task is the cause, and costs no other run.
-
-// maxClosedTime is the longest time that a worker is closed because of one run. Longer observations go on
-// beside other tasks.
-const maxClosedTime = 2 * time.Second
-
-// MaxObservingShare is the largest share of the workers of a class that are closed to other tasks at the
-// same time. One worker may always be closed.
-const MaxObservingShare = 0.125
-
-// observe begins to observe a run of a task that is suspected of crashes. It closes the worker to other
-// tasks meanwhile, unless too many workers of its class are closed.
-func (f *Fleet) observe(now, assignedAt time.Time, w *Worker, run *Run, crashes []tbflow.Crash) {
-	if len(crashes) == 0 {
-		return
-	}
-	run.observation = tbflow.ObservationTime(crashes)
-	if tbflow.SuspectedCrashes(crashes) > 0 && f.mayObserve(now, w.Class) {
-		run.observedUntil = assignedAt.Add(min(run.observation, maxClosedTime))
-		w.ObservedUntil = maxTime(w.ObservedUntil, run.observedUntil)
-	}
-}
-
-// endObservations ends the observation of the runs that have proven that they do not crash the worker.
-func (f *Fleet) endObservations(w *Worker) {
-	var proven []tbflow.RunRef
-	for ref, r := range w.runs {
-		if r.observation > 0 && r.KnownRunTime() >= r.observation && r.Phase == RunExecuting {
-			r.observation, r.observedUntil = 0, time.Time{}
-			proven = append(proven, tbflow.RunRef{Ref: ref, Run: r.Number})
-		}
-	}
-	if len(proven) == 0 {
-		return
-	}
-	slices.SortFunc(proven, func(a, b tbflow.RunRef) int { return strings.Compare(a.Ref.String(), b.Ref.String()) })
-	w.updateObservedUntil()
-	f.output.Commands = append(f.output.Commands, tbflow.RecordProven{Runs: proven})
-}
-
-func (f *Fleet) mayObserve(now time.Time, class string) bool {
-	workers, observing := 0, 0
-	for _, w := range f.sortedWorkers {
-		if !w.registered || w.Class != class {
-			continue
-		}
-		workers++
-		if now.Before(w.ObservedUntil) {
-			observing++
-		}
-	}
-	return observing == 0 || float64(observing+1) <= MaxObservingShare*float64(workers)
-}
-
-// updateObservedUntil recomputes observedUntil after runs were removed.
-func (w *Worker) updateObservedUntil() {
-	if w.ObservedUntil.IsZero() {
-		return
-	}
-	w.ObservedUntil = time.Time{}
-	for _, r := range w.runs {
-		w.ObservedUntil = maxTime(w.ObservedUntil, r.observedUntil)
-	}
-}
-
-// UnprovenRuns returns the number of runs of the worker that are not known to have executed for the
-// observation time of a task without crashes.
-func (w *Worker) UnprovenRuns() int {
-	n := 0
-	for _, r := range w.runs {
-		if r.Phase != RunEnding && r.KnownRunTime() < tbflow.ObservationTime(nil) {
-			n++
-		}
-	}
-	return n
-}
--- /dev/null
+++ b/core/tbfleet/run_time.go
@@ -0,0 +1,65 @@
+package tbfleet
+
+import (
+	"time"
+
+	"tamarackbarrow/core/tbflow"
+)
+
+// A run that has executed for long does not crash its worker when it starts, and one that has begun just
+// before a crash may have caused it. How long a run is known to have executed follows from proofs: the
+// accepted start and the poll answers that list the run.
+
+// KnownRunTime returns how long the run is known to have executed. It is measured on the worker's clock
+// from the first proof that the run was executing to the newest one.
+func (r *Run) KnownRunTime() time.Duration {
+	return r.earlierRunTime + time.Duration(r.executingUntilMs-r.executingSinceMs)*time.Millisecond
+}
+
+// restoreRunTime sets what a new leader knows of a run that was assigned some time ago. The earlier leader
+// has renewed the lease of the worker, so that the run was executing at most a lease ago. If the worker
+// lists the run, it has most probably executed it since its assignment.
+func (r *Run) restoreRunTime(sinceAssignment, lease time.Duration) {
+	r.timeBeforeTerm = sinceAssignment
+	if sinceAssignment > lease {
+		r.earlierRunTime, r.isConfirmed = sinceAssignment-lease, true
+	}
+}
+
+// noteExecuting records that the run was executing when the worker's clock showed clockMs. It is 0 if the
+// worker gave no time.
+func (r *Run) noteExecuting(clockMs int64) {
+	r.isConfirmed = true
+	if clockMs == 0 {
+		return
+	}
+	if r.executingSinceMs == 0 {
+		r.executingSinceMs, r.earlierRunTime = clockMs, r.timeBeforeTerm
+	}
+	r.executingUntilMs = max(r.executingUntilMs, clockMs)
+}
+
+// forgetRunTime forgets what is known of an execution, because the worker has restarted.
+func (r *Run) forgetRunTime() {
+	r.executingSinceMs, r.executingUntilMs, r.isConfirmed = 0, 0, false
+	r.earlierRunTime, r.timeBeforeTerm, r.acceptedAt = 0, 0, time.Time{}
+}
+
+// noteAccepted records when the worker is first known to have executed the run.
+func (r *Run) noteAccepted(at time.Time) {
+	if r.acceptedAt.IsZero() {
+		r.acceptedAt = at
+	}
+}
+
+// UnprovenRuns returns the number of runs of the worker that are not known to have executed for the
+// observation time of a task without crashes.
+func (w *Worker) UnprovenRuns() int {
+	n := 0
+	for _, r := range w.runs {
+		if r.Phase != RunEnding && r.KnownRunTime() < tbflow.ObservationTime(nil) {
+			n++
+		}
+	}
+	return n
+}
--- a/core/tbflow/crash.go
+++ b/core/tbflow/crash.go
@@ -11,8 +11,8 @@
 // What tells a harmful task from the others is that these run well on other workers. The state therefore
 // records the crashes under each task. A run is unproven until it has executed for ObservationTime. Only
 // unproven runs are suspects of a crash. A crash points at the runs that began just before it, and the
-// fewer jobs are suspects, the more it says. A suspect starts apart from other unproven runs (tbassign), so that its next crash says more. A job is
-// given up after several crashes under one of its tasks, on different machines.
+// fewer jobs are suspects, the more it says. A suspect starts apart from other unproven runs (tbassign),
+// so that its next crash says more. A job is given up after several crashes under one of its tasks.
 
 // Bounds of the time that a run is observed, and crashes after which a job is given up.
 const (
@@ -20,8 +20,6 @@
 	// its worker is observed for longer after its first crash.
 	minObservation = time.Second
 	maxObservation = 10 * time.Second
-	// maxCrashes is the number of suspected crashes of one task after which its job is given up in any case.
-	maxCrashes = 5
 	// crashRetention is how long a crash counts. A long-running task must not be given up for rare crashes
 	// of its machines.
 	crashRetention = 5 * time.Minute
@@ -37,7 +35,8 @@
 	AtMs int64
 	// RanMs is how long the run is known to have executed, in milliseconds.
 	RanMs int64
-	// AgeMs is CrashedRun.AgeMs.
+	// AgeMs is the time from the first proof that the run was executing to the crash, in milliseconds, or 0
+	// if that is unknown.
 	AgeMs int64
 	// Suspects is the number of jobs with an unproven run on the worker. It is 0 if this run was proven.
 	Suspects int
@@ -52,8 +51,7 @@
 	Run uint64
 	// RanMs is how long the run is known to have executed, in milliseconds.
 	RanMs int64
-	// AgeMs is the time from the first proof that the run was executing to the crash, in milliseconds, or 0
-	// if that is unknown.
+	// AgeMs has the meaning that it has in Crash.
 	AgeMs int64
 	// Unconfirmed is true if it is not known that the worker has received the start.
 	Unconfirmed bool
@@ -114,69 +112,6 @@
 	return n
 }
 
-// permilleToGiveUp holds, by the number of suspected crashes of one task, the suspicion at which its job is
-// given up, in thousandths.
-var permilleToGiveUp = map[int]int{3: 2000, 4: 1000}
-
-// MustGiveUp reports whether the job of a task with these crashes is given up.
-func MustGiveUp(crashes []Crash) bool {
-	n := SuspectedCrashes(crashes)
-	threshold, ok := permilleToGiveUp[n]
-	return n >= maxCrashes || ok && suspicionPermille(crashes) >= threshold
-}
-
-// suspicionPermille returns how much the crashes point at a task, in thousandths. Only the most telling
-// crash of each machine counts, because a machine may crash by itself again and again.
-func suspicionPermille(crashes []Crash) int {
-	byAddress := map[string]int{}
-	for i := range crashes {
-		c := &crashes[i]
-		byAddress[c.Address] = max(byAddress[c.Address], c.SuspicionPermille)
-	}
-	sum := 0
-	for _, share := range byAddress {
-		sum += share
-	}
-	return sum
-}
-
-// Weights of the suspects of a crash. They are integers, so that all replicas compute the same.
-const (
-	// A run with the age ageMs at the crash has the weight weightOfAge / (ageMs + ageOffsetMs).
-	weightOfAge = 1_000_000
-	ageOffsetMs = 50
-	// unknownAgeMs is the assumed age of a run whose age is unknown, and machineAgeMs that of the machine as
-	// a suspect.
-	unknownAgeMs = 500
-	machineAgeMs = 1000
-	// maxEarlierCrashes bounds the earlier crashes of the machine, each of which makes it more suspect.
-	maxEarlierCrashes = 3
-)
-
-func weightAtAge(ageMs int64) int { return int(weightOfAge / (max(0, ageMs) + ageOffsetMs)) }
-
-// weight returns the weight of a run among the suspects of a crash, given the earlier crashes of its task.
-// The age counts in relation to the observation time, because a task that was observed for longer takes
-// longer to crash its worker. A task that crashes its workers late and at the same age again counts as
-// if its run had just begun.
-func (r *CrashedRun) weight(crashes []Crash) int {
-	if r.AgeMs == 0 {
-		return weightAtAge(unknownAgeMs)
-	}
-	age := r.AgeMs * minObservation.Milliseconds() / ObservationTime(crashes).Milliseconds()
-	for i := range crashes {
-		if earlier := crashes[i].AgeMs; earlier >= minObservation.Milliseconds() {
-			age = min(age, max(r.AgeMs, earlier)-min(r.AgeMs, earlier))
-		}
-	}
-	return weightAtAge(age)
-}
-
-// machineWeight returns the weight of the machine among the suspects of a crash.
-func (c *RecordCrash) machineWeight() int {
-	return weightAtAge(machineAgeMs) * (1 + max(0, min(c.EarlierCrashes, maxEarlierCrashes)))
-}
-
 func (s *State) recordCrash(c RecordCrash) {
 	if l, ok := s.Lost[c.Worker]; ok && l.Incarnation <= c.Incarnation {
 		delete(s.Lost, c.Worker)
--- /dev/null
+++ b/core/tbflow/suspicion.go
@@ -0,0 +1,67 @@
+package tbflow
+
+// maxCrashes is the number of suspected crashes of one task after which its job is given up in any case.
+const maxCrashes = 5
+
+// permilleToGiveUp holds, by the number of suspected crashes of one task, the suspicion at which its job is
+// given up, in thousandths.
+var permilleToGiveUp = map[int]int{3: 2000, 4: 1000}
+
+// MustGiveUp reports whether the job of a task with these crashes is given up.
+func MustGiveUp(crashes []Crash) bool {
+	n := SuspectedCrashes(crashes)
+	threshold, ok := permilleToGiveUp[n]
+	return n >= maxCrashes || ok && suspicionPermille(crashes) >= threshold
+}
+
+// suspicionPermille returns how much the crashes point at a task, in thousandths. Only the most telling
+// crash of each machine counts, because a machine may crash by itself again and again.
+func suspicionPermille(crashes []Crash) int {
+	byAddress := map[string]int{}
+	for i := range crashes {
+		c := &crashes[i]
+		byAddress[c.Address] = max(byAddress[c.Address], c.SuspicionPermille)
+	}
+	sum := 0
+	for _, share := range byAddress {
+		sum += share
+	}
+	return sum
+}
+
+// Weights of the suspects of a crash. They are integers, so that all replicas compute the same.
+const (
+	// A run with the age ageMs at the crash has the weight weightOfAge / (ageMs + ageOffsetMs).
+	weightOfAge = 1_000_000
+	ageOffsetMs = 50
+	// unknownAgeMs is the assumed age of a run whose age is unknown, and machineAgeMs that of the machine as
+	// a suspect.
+	unknownAgeMs = 500
+	machineAgeMs = 1000
+	// maxEarlierCrashes bounds the earlier crashes of the machine, each of which makes it more suspect.
+	maxEarlierCrashes = 3
+)
+
+func weightAtAge(ageMs int64) int { return int(weightOfAge / (max(0, ageMs) + ageOffsetMs)) }
+
+// weight returns the weight of a run among the suspects of a crash, given the earlier crashes of its task.
+// The age counts in relation to the observation time, because a task that was observed for longer takes
+// longer to crash its worker. A task that crashes its workers late and at the same age again counts as
+// if its run had just begun.
+func (r *CrashedRun) weight(crashes []Crash) int {
+	if r.AgeMs == 0 {
+		return weightAtAge(unknownAgeMs)
+	}
+	age := r.AgeMs * minObservation.Milliseconds() / ObservationTime(crashes).Milliseconds()
+	for i := range crashes {
+		if earlier := crashes[i].AgeMs; earlier >= minObservation.Milliseconds() {
+			age = min(age, max(r.AgeMs, earlier)-min(r.AgeMs, earlier))
+		}
+	}
+	return weightAtAge(age)
+}
+
+// machineWeight returns the weight of the machine among the suspects of a crash.
+func (c *RecordCrash) machineWeight() int {
+	return weightAtAge(machineAgeMs) * (1 + max(0, min(c.EarlierCrashes, maxEarlierCrashes)))
+}
