--- a/io/tbbundlefile/bundlefile_test.go
+++ b/io/tbbundlefile/bundlefile_test.go
@@ -45,3 +45,9 @@
 bad.toml:15: jobKinds[0].expectedRunTime: must be above 0, is 0s
 bad.toml:23: teams[1].name: must be set and unique, is "a"`)
 }
+
+// Whatever an operator hands in is parsed or refused, without a panic.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("version = 1\n[[services]]\nname = \"q\"\ntargetLatency = \"1s\"\nrunDeadline = \"2s\"\n[[jobKinds]]\nname = \"k\"\nprocessors = 1\n[[teams]]\nname = \"t\"\n"))
+	f.Fuzz(func(_ *testing.T, data []byte) { _, _ = Parse("bundle", data) })
+}
--- a/io/tbsettings/settings_test.go
+++ b/io/tbsettings/settings_test.go
@@ -52,3 +52,9 @@
 	_, err := Parse("bad.toml", []byte("id = \"x\"\ndataCentre = \n"))
 	qt.Assert(t, err, qt.ErrorMatches, `bad\.toml:2: .*`)
 }
+
+// Whatever a settings file contains is parsed or refused, without a panic.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("id = \"a\"\ndataCentre = \"z\"\ncallerAddress = \"127.0.0.1:1\"\n[group]\nseeds = [\"127.0.0.1:2\"]\n[workers]\nlease = \"1s\"\n"))
+	f.Fuzz(func(_ *testing.T, data []byte) { _, _ = Parse("settings", data) })
+}
