Count a job once among the suspects of a crash

The share of a job was the sum over its tasks on the worker, so that a harmless long-running job with several tasks there was suspected more than the task that crashed the worker; and a task that was still observed counted as proven after 1 s when the next suspect was placed beside it.

--- a/core/tbfleet/run_time.go
+++ b/core/tbfleet/run_time.go
@@ -53,11 +53,11 @@
 }
 
 // UnprovenRuns returns the number of runs of the worker that are not known to have executed for the
-// observation time of a task without crashes.
+// observation time of their tasks.
 func (w *Worker) UnprovenRuns() int {
 	n := 0
 	for _, r := range w.runs {
-		if r.Phase != RunEnding && r.KnownRunTime() < tbflow.ObservationTime(nil) {
+		if r.Phase != RunEnding && r.KnownRunTime() < max(r.observation, tbflow.ObservationTime(nil)) {
 			n++
 		}
 	}
--- a/core/tbflow/crash.go
+++ b/core/tbflow/crash.go
@@ -130,10 +130,13 @@
 		crashes := s.Crashes[r.Ref]
 		if time.Duration(r.RanMs)*time.Millisecond < ObservationTime(crashes) {
 			weights[r.Ref] = r.weight(crashes)
-			weightByJob[r.Ref.Job] += weights[r.Ref]
-			totalWeight += weights[r.Ref]
+			// The number of its tasks does not make a job more suspect.
+			weightByJob[r.Ref.Job] = max(weightByJob[r.Ref.Job], weights[r.Ref])
 		}
 	}
+	for _, weight := range weightByJob {
+		totalWeight += weight
+	}
 	for _, r := range involved {
 		crash := Crash{Worker: c.Worker, Incarnation: c.Incarnation, Address: c.Address, Run: r.Run, AtMs: s.NowMs, RanMs: r.RanMs, AgeMs: r.AgeMs}
 		if weight, isSuspect := weights[r.Ref]; isSuspect {
