Let a failed task return to its worker if no other has room

It now avoids the worker for 1.5 s, then only the capacity counts.

TestFailedTaskReturnsToItsWorkerIfNoOtherHasRoom fails without the limit.

--- a/core/tbassign/assign_test.go
+++ b/core/tbassign/assign_test.go
@@ -477,3 +477,26 @@
 	b.learner.RemoveWorker("w00")
 	qt.Check(t, len(b.learner.lastSamples)+len(b.learner.violatingSince), qt.Equals, 0)
 }
+
+// A long-running task fails on its worker while all other workers are full. It used to avoid that worker for
+// ever, so that it did not run although there was room for it.
+func TestFailedTaskReturnsToItsWorkerIfNoOtherHasRoom(t *testing.T) {
+	b := newFixture(t, 2)
+	b.submit("watch", "full", longRunningStep(5, "a"))
+	b.submit("watch", "w", tbflow.Step{Count: 1, Need: resources(6), LongRunning: true, Image: "b"})
+	apply := func(c tbflow.Command) {
+		b.state.Apply(b.now.UnixMilli(), c)
+		b.fleet.HandleApplied(b.now, b.state, c)
+	}
+	failed := tbflow.TaskRef{Job: "w"}
+	assign := tbflow.Assign{Assignments: []tbflow.Assignment{{Ref: failed, Run: 1, Worker: "w01", Incarnation: 1}}}
+	for i := range 5 {
+		assign.Assignments = append(assign.Assignments, tbflow.Assignment{Ref: tbflow.TaskRef{Job: "full", Index: i}, Run: 1, Worker: "w00", Incarnation: 1})
+	}
+	apply(assign)
+	apply(tbflow.RecordEnds{Worker: "w01", Incarnation: 1, Ends: []tbflow.End{{Ref: failed, Run: 1, Kind: tbflow.EndFailed}}})
+	qt.Check(t, b.planAndCommit(), qt.HasLen, 0)
+	b.now = b.now.Add((avoidWaitMs + 1) * time.Millisecond)
+	apply(tbflow.PutConfig{})
+	qt.Check(t, b.planAndCommit(), qt.HasLen, 1)
+}
--- a/core/tbassign/place.go
+++ b/core/tbassign/place.go
@@ -122,7 +122,7 @@
 	case !w.step.Need.Fits(r.free):
 		r.applyReservation(p.state, ref, 1)
 		return nil, true
-	case !p.canPlace(r, w) || avoids(t, r, len(p.workersByClass[w.job.WorkerClass])):
+	case !p.canPlace(r, w) || p.avoids(t, r, len(p.workersByClass[w.job.WorkerClass])):
 		// Earlier results and scores assumed that the capacity is reserved. Discard the results,
 		// and compute the score again if it is still in use.
 		clear(p.unplaceable)
@@ -267,7 +267,7 @@
 	mayUseHeadroom := c.slotBudget != nil && c.slotBudget.isKnown && c.slotBudget.spare > 0
 	for i, score := range c.scores {
 		switch {
-		case score == infeasibleScore || t.LastFailedOn != "" && avoids(t, c.workers[i], len(c.workers)):
+		case score == infeasibleScore || t.LastFailedOn != "" && c.planState.avoids(t, c.workers[i], len(c.workers)):
 		case c.usesHeadroom[i] && !mayUseHeadroom:
 			headroomCount++
 			if bestUsingHeadroom < 0 || score > c.scores[bestUsingHeadroom] {
@@ -288,10 +288,14 @@
 	return nil
 }
 
-// avoids reports whether a task must not be placed on a worker because its last run failed there.
+// avoidWaitMs is how long, in milliseconds, a task waits for another worker than the one on which its last
+// run failed. On a full class, no other worker may have room for a long time.
+const avoidWaitMs = 1500
+
+// avoids reports whether a task must not be placed on a worker now because its last run failed there.
 // If the class has only one worker, nothing is avoided.
-func avoids(t *tbflow.Task, r *workerState, workerCount int) bool {
-	return t.LastFailedOn == r.worker.ID && workerCount > 1
+func (p *planState) avoids(t *tbflow.Task, r *workerState, workerCount int) bool {
+	return t.LastFailedOn == r.worker.ID && workerCount > 1 && p.state.NowMs-t.WaitingSinceMs <= avoidWaitMs
 }
 
 // canPlace reports whether a worker can take one more task of a step.
--- a/core/tbassign/suspects.go
+++ b/core/tbassign/suspects.go
@@ -79,7 +79,7 @@
 	var best suspectCandidate
 	workers := p.workersByClass[w.job.WorkerClass]
 	for _, r := range workers {
-		if avoids(t, r, len(workers)) || !p.canPlace(r, w) {
+		if p.avoids(t, r, len(workers)) || !p.canPlace(r, w) {
 			continue
 		}
 		if !r.unprovenIsKnown {
