--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -24,7 +24,8 @@
 	// to that worker can be in flight any more.
 	removedAt map[string]time.Time
 	// firstFailedOn holds, for each failing job, the worker on which a run of the job failed first.
-	firstFailedOn    map[string]string
+	firstFailedOn map[string]string
+	// crashesByAddress holds the recent crashes of the workers at each address that this leader knows of.
 	crashesByAddress map[string]machineCrashes
 	// pollPermits holds the polls in flight to unreached workers, see isUnreached.
 	pollPermits map[incarnationKey]bool
@@ -48,8 +49,8 @@
 	Failures int
 	// AvoidUntil is the time before which the worker gets no new tasks.
 	AvoidUntil time.Time
-	// CapacityKnownAt is when the worker sent the newest report that this leader has received, as late as it
-	// is certain. The worker's capacity may have changed since. It is zero before the first report.
+	// CapacityKnownAt is the latest time at which the worker can have sent the newest report that this leader
+	// received. The capacity may have changed since. It is zero before the first report.
 	CapacityKnownAt time.Time
 	// Strays are the tasks that the worker executes without an assignment, as far as the last poll answer
 	// tells. They are being stopped, and occupy capacity until they have ended.
