--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -2,4 +2,4 @@
 # Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x review/bin/harness ] && [ -x target/tamarackbarrow ] || exit 2
-exec review/bin/harness -case gang -root "$PWD" -folder review/4
+exec review/bin/harness -case failed-task -root "$PWD" -folder review/4
--- a/review/_harness/cases.go
+++ b/review/_harness/cases.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -15,6 +16,7 @@
 	"lost-founder":   lostFounder,
 	"gang":           gangDrain,
 	"late-crash":     lateCrash,
+	"late-start":     lateStart,
 	"large-config":   largeConfig,
 }
 
@@ -354,18 +356,23 @@
 	})
 }
 
-// lateCrash: a task crashes each runner that starts it, some time after its start.
+// lateCrash: a task crashes each runner that starts it, 11 s after its start.
 func lateCrash(root, folder string, trouble bool) verdict {
-	const job = "5c0e7a21d94b36f8"
-	const task = job + ".0.0.0"
+	const (
+		job = "5c0e7a21d94b36f8"
+		// most is the number of starts after the third crash that break the rule.
+		most = 3
+		back = 2 * time.Second
+	)
 	return runCase(root, folder, trouble, func(e *env) {
 		for range 12 {
-			r := e.addRunner(8000, 16000, labelsOf("a"), func(_ *runner, _ string, _ uint64) plan {
-				return plan{cpu: 500, memMB: 256, length: 11 * time.Second, how: "done", crash: e.trouble}
+			r := e.addRunner(8000, 16000, labelsOf("a"), func(_ *runner, name string, _ uint64) plan {
+				if strings.HasPrefix(name, job) {
+					return plan{cpu: 500, memMB: 256, length: 11 * time.Second, how: "done", crash: e.trouble}
+				}
+				return plan{cpu: 500, memMB: 256, length: 300 * time.Millisecond, how: "done"}
 			})
-			r.onCrash = func() {
-				time.AfterFunc(2*time.Second, func() { _ = r.start() })
-			}
+			r.onCrash = func() { time.AfterFunc(back, func() { r.restartAs(labelsOf("a"), 0) }) }
 		}
 	}, func(e *env) verdict {
 		if !e.begin() {
@@ -374,11 +381,14 @@
 		if !e.submit(job, `{"spec":"x","steps":[{"count":1,"cpu":500,"mem_mb":256,"estimated_ms":11000}]}`) {
 			return cannotRun
 		}
-		for time.Since(e.rec.start) < 105*time.Second {
+		for i := 0; time.Since(e.rec.start) < 105*time.Second; i++ {
+			// Other clients' jobs.
+			if !e.submit("5c0e7a21d94b3"+itoa(100+i), `{"spec":"x","steps":[{"count":2,"cpu":500,"mem_mb":256,"estimated_ms":300}]}`) {
+				return cannotRun
+			}
 			time.Sleep(time.Second)
-			starts := len(e.startsOf(job))
-			if starts >= 6 {
-				e.rec.printf("task %s was started %d times; three runners had crashed under it before the last three starts", task, starts)
+			if starts := len(e.startsOf(job)); starts >= 3+most {
+				e.rec.printf("the task of %s was started %d times, %d of them after three runners had crashed under it; its job is %s", job, starts, starts-3, e.state(job))
 				return broken
 			}
 			if s := e.state(job); s == "completed" || s == "failed" {
@@ -453,3 +463,83 @@
 		return v
 	})
 }
+
+// lateStart: a start gets no answer and is carried out 6 s later, by the next life of a runner that has
+// crashed meanwhile.
+func lateStart(root, folder string, trouble bool) verdict {
+	const (
+		job   = "5c0e7a21d94b36f8"
+		first = "7d1f8b32ea5c47a9"
+		task  = job + ".0.0.0"
+		late  = 6 * time.Second
+		crash = 1500 * time.Millisecond
+		down  = 3500 * time.Millisecond
+	)
+	return runCase(root, folder, trouble, func(e *env) {
+		for i := range 12 {
+			kind := "a"
+			if i < 2 {
+				kind = "b"
+			}
+			e.addRunner(8000, 16000, labelsOf(kind), func(_ *runner, name string, _ uint64) plan {
+				switch {
+				case name == task:
+					return plan{cpu: 4000, memMB: 256, length: 20 * time.Second, how: "done"}
+				case strings.HasPrefix(name, first):
+					return plan{cpu: 8000, memMB: 256, length: 900 * time.Millisecond, how: "done"}
+				}
+				return plan{cpu: 500, memMB: 256, length: 700 * time.Millisecond, how: "done"}
+			})
+		}
+	}, func(e *env) verdict {
+		if !e.begin() {
+			return cannotRun
+		}
+		var once sync.Once
+		for _, r := range e.runners[:2] {
+			r.delay = func(name string, _ uint64) time.Duration {
+				var after time.Duration
+				if e.trouble && name == task {
+					once.Do(func() {
+						after = late
+						go func() {
+							time.Sleep(crash)
+							r.crash("crashed")
+							time.Sleep(down)
+							r.restartAs(labelsOf("b"), heartbeat)
+						}()
+					})
+				}
+				return after
+			}
+		}
+		begin := time.Now()
+		v := held
+		for i := 0; time.Since(begin) < 24*time.Second; i++ {
+			// The first job has one of the two runners with label b to itself for a while.
+			if i == 8 && !e.submit(first, `{"spec":"x","steps":[{"count":1,"cpu":8000,"mem_mb":256,"estimated_ms":900,"requirements":"b"}]}`) {
+				return cannotRun
+			}
+			if i == 8 && !e.submit(job, `{"spec":"x","steps":[{"count":1,"cpu":4000,"mem_mb":256,"estimated_ms":20000,"requirements":"b"}]}`) {
+				return cannotRun
+			}
+			// Other clients' jobs, on the other runners.
+			if !e.submit("5c0e7a21d94b3"+itoa(100+i), `{"spec":"x","steps":[{"count":6,"cpu":500,"mem_mb":256,"estimated_ms":700,"requirements":"a","anti_affinity":1}]}`) {
+				return cannotRun
+			}
+			for until := time.Now().Add(250 * time.Millisecond); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+				var at []string
+				for _, r := range e.runners {
+					if n := r.runOf(task); n > 0 {
+						at = append(at, r.id+" run "+itoa(n))
+					}
+				}
+				if len(at) > 1 && v == held {
+					e.rec.printf("task %s runs twice at the same time: %v", task, at)
+					v = broken
+				}
+			}
+		}
+		return v
+	})
+}
--- a/review/_harness/runner.go
+++ b/review/_harness/runner.go
@@ -41,6 +41,8 @@
 	plans   func(r *runner, task string, run uint64) plan
 	onStart func(r *runner, task string, run uint64)
 	onEnd   func(task, how string)
+	// delay returns after which time a start is carried out without an answer, or 0 for at once.
+	delay func(task string, run uint64) time.Duration
 	// onCrash is called after a task has crashed the runner.
 	onCrash func()
 	admits  bool
@@ -153,6 +155,16 @@
 	return len(r.running)
 }
 
+// runOf returns the number of the run of a task that is running, or 0.
+func (r *runner) runOf(task string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if have := r.running[task]; r.up && have != nil {
+		return int(have.number)
+	}
+	return 0
+}
+
 func (r *runner) alive(life int) bool { return r.up && r.life == life }
 
 type order struct {
@@ -181,6 +193,13 @@
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
+		if q.URL.Path == "/run-start" && r.delay != nil {
+			if after := r.delay(o.Task, o.Run); after > 0 {
+				r.carryOutLate(o, after, handle)
+				<-q.Context().Done()
+				panic(http.ErrAbortHandler)
+			}
+		}
 		r.mu.Lock()
 		if !r.alive(life) {
 			r.mu.Unlock()
@@ -207,6 +226,26 @@
 	}
 }
 
+// carryOutLate executes a start that gets no answer, at the life of the runner that there is by then.
+func (r *runner) carryOutLate(o order, after time.Duration, handle func(o order) (int, answer)) {
+	r.c.rec.printf("runner %s: the start of %s run %d gets no answer and is carried out %s later", r.id, o.Task, o.Run, after)
+	time.AfterFunc(after, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if !r.up {
+			r.c.rec.printf("runner %s: the late start of %s run %d finds nobody", r.id, o.Task, o.Run)
+			return
+		}
+		if o.Token < r.token {
+			r.c.rec.printf("runner %s: the late start of %s run %d is refused, its token is too low", r.id, o.Task, o.Run)
+			return
+		}
+		r.token = o.Token
+		status, a := handle(o)
+		r.c.rec.printf("runner %s: the late start of %s run %d is carried out in life %d: %d %v", r.id, o.Task, o.Run, r.life, status, a)
+	})
+}
+
 // extend takes a lease from an order. It never shortens, and is at most holdMax.
 func (r *runner) extend(untilMs int64) {
 	if untilMs <= 0 {
