--- a/review/_harness/cases.go
+++ b/review/_harness/cases.go
@@ -75,20 +75,23 @@
 // judgeUnfinished watches a job for 3 s. The rule is broken if it is neither completed nor failed, and
 // none of its tasks has run meanwhile.
 func (e *env) judgeUnfinished(job string) verdict {
-	before := len(e.startsOf(job))
-	state := e.state(job)
-	for range 7 {
-		time.Sleep(500 * time.Millisecond)
-		state = e.state(job)
-		if state == "completed" {
-			e.rec.printf("job %s is completed", job)
+	const watched = 3 * time.Second
+	before, state, asked := len(e.startsOf(job)), "", time.Time{}
+	for since := time.Now(); time.Since(since) < watched; time.Sleep(20 * time.Millisecond) {
+		if e.hasRunning(job) || len(e.startsOf(job)) > before {
+			e.rec.printf("job %s has something running", job)
+			return held
+		}
+		if time.Since(asked) < 500*time.Millisecond {
+			continue
+		}
+		asked = time.Now()
+		if state = e.state(job); state == "completed" || state == "failed" {
+			e.rec.printf("job %s is %s", job, state)
 			return held
 		}
 	}
-	if len(e.startsOf(job)) > before {
-		return held
-	}
-	e.rec.printf("job %s is %s, %s after its task's turn has come, and had nothing running for 3 s", job, state, finish)
+	e.rec.printf("job %s is %s, at least %s after its task's turn has come, and had nothing running for %s", job, state, finish, watched)
 	return broken
 }
 
@@ -292,6 +295,10 @@
 			for _, address := range e.controls() {
 				status, text := send(http.MethodGet, address, "", "/config/describe", "", 3*time.Second)
 				e.rec.printf("operator: GET /config/describe at %s -> %d %s", address, status, text)
+				if status == 0 {
+					// A core machine that does not answer at all is not what this case is about.
+					return cannotRun
+				}
 			}
 			for i := range 4 {
 				e.call(i, http.MethodPost, prefix+job, `{"spec":"x","steps":[{"count":2,"cpu":500,"mem_mb":256,"estimated_ms":500}]}`)
@@ -372,7 +379,10 @@
 				}
 				return plan{cpu: 500, memMB: 256, length: 300 * time.Millisecond, how: "done"}
 			})
-			r.onCrash = func() { time.AfterFunc(back, func() { r.restartAs(labelsOf("a"), 0) }) }
+			r.onCrash = func() {
+				e.noteCrash()
+				time.AfterFunc(back, func() { r.restartAs(labelsOf("a"), 0) })
+			}
 		}
 	}, func(e *env) verdict {
 		if !e.begin() {
@@ -387,8 +397,8 @@
 				return cannotRun
 			}
 			time.Sleep(time.Second)
-			if starts := len(e.startsOf(job)); starts >= 3+most {
-				e.rec.printf("the task of %s was started %d times, %d of them after three runners had crashed under it; its job is %s", job, starts, starts-3, e.state(job))
+			if n := e.startsAfterCrash(job, 3); n >= most {
+				e.rec.printf("the task of %s was started %d times, %d of them after three runners had crashed under it; its job is %s", job, len(e.startsOf(job)), n, e.state(job))
 				return broken
 			}
 			if s := e.state(job); s == "completed" || s == "failed" {
--- a/review/_harness/client.go
+++ b/review/_harness/client.go
@@ -6,9 +6,11 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -28,6 +30,8 @@
 	mu      sync.Mutex
 	starts  []start
 	ends    []end
+	// crashes holds the times at which a task crashed its runner.
+	crashes []time.Time
 	gangs   *gangs
 }
 
@@ -76,6 +80,39 @@
 	return all
 }
 
+func (e *env) noteCrash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crashes = append(e.crashes, time.Now())
+}
+
+// startsAfterCrash returns how many starts of a job came after the n-th crash under a task.
+func (e *env) startsAfterCrash(job string, n int) int {
+	starts := e.startsOf(job)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.crashes) < n {
+		return 0
+	}
+	after := 0
+	for _, s := range starts {
+		if s.at.After(e.crashes[n-1]) {
+			after++
+		}
+	}
+	return after
+}
+
+// hasRunning reports whether any runner has a run of a job now.
+func (e *env) hasRunning(job string) bool {
+	for _, r := range e.runners {
+		if r.runsOfJob(job) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // endsSince returns how many runs of a task or job have ended in one way since a time.
 func (e *env) endsSince(since time.Time, name, how string) int {
 	e.mu.Lock()
@@ -178,6 +215,9 @@
 	return string(data)
 }
 
+// mostTime is the longest time of a case.
+const mostTime = 116 * time.Second
+
 // verdict is the exit status of a case.
 type verdict int
 
@@ -203,6 +243,18 @@
 		return cannotRun
 	}
 	defer c.stopAll()
+	// The case ends in any event before mostTime, and when it gets a signal.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		select {
+		case <-signals:
+		case <-time.After(mostTime):
+		}
+		rec.printf("verdict: the case could not run to its end")
+		c.stopAll()
+		os.Exit(int(cannotRun))
+	}()
 	e := &env{cluster: c, trouble: trouble, gangs: newGangs(rec)}
 	prepare(e)
 	defer func() {
@@ -221,6 +273,10 @@
 		}
 	}
 	v := play(e)
+	if n := c.unexpectedEnds(); n > 0 && v == broken {
+		rec.printf("%d processes ended that the case did not end", n)
+		v = cannotRun
+	}
 	rec.printf("verdict: %s", [...]string{"the rule was kept", "the rule was broken", "the case could not run"}[v])
 	return v
 }
--- a/review/_harness/cluster.go
+++ b/review/_harness/cluster.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -65,7 +66,9 @@
 	// all holds the machines that were replaced.
 	all     []*machine
 	stopped bool
-	mu      sync.Mutex
+	// ends counts the processes that ended and that the case did not end.
+	ends int
+	mu   sync.Mutex
 }
 
 func (c *cluster) ip(n int) string { return fmt.Sprintf("%s.%d", c.prefix, n) }
@@ -165,13 +168,23 @@
 	cmd := exec.Command(filepath.Join(c.root, "target/tamarackbarrow"), "serve", "--settings", m.settings)
 	cmd.Dir, cmd.Stdout, cmd.Stderr = c.root, logFile, logFile
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
+	ended := make(chan struct{})
+	// stopAll either finds the process or keeps it from starting.
+	c.mu.Lock()
+	if c.stopped {
+		c.mu.Unlock()
+		return errors.New("the case is over")
+	}
+	err = cmd.Start()
+	if err == nil {
+		m.mu.Lock()
+		m.cmd, m.ended = cmd, ended
+		m.mu.Unlock()
+	}
+	c.mu.Unlock()
+	if err != nil {
 		return err
 	}
-	ended := make(chan struct{})
-	m.mu.Lock()
-	m.cmd, m.ended = cmd, ended
-	m.mu.Unlock()
 	go func() {
 		err := cmd.Wait()
 		close(ended)
@@ -182,6 +195,14 @@
 			return
 		}
 		c.rec.printf("platform: the process of %s has ended: %v", m.name, err)
+		m.mu.Lock()
+		intended := m.keepDown
+		m.mu.Unlock()
+		if !intended {
+			c.mu.Lock()
+			c.ends++
+			c.mu.Unlock()
+		}
 		time.Sleep(restartDelay)
 		m.mu.Lock()
 		down := m.keepDown
@@ -199,6 +220,13 @@
 	return nil
 }
 
+// unexpectedEnds returns how many processes ended that the case did not end.
+func (c *cluster) unexpectedEnds() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ends
+}
+
 // startAll starts all machines within 0.3 s.
 func (c *cluster) startAll() error {
 	for _, m := range c.machines {
@@ -213,8 +241,9 @@
 func (c *cluster) stopAll() {
 	c.mu.Lock()
 	c.stopped = true
+	machines := append(append([]*machine{}, c.all...), c.machines...)
 	c.mu.Unlock()
-	for _, m := range append(c.all, c.machines...) {
+	for _, m := range machines {
 		m.mu.Lock()
 		cmd, ended := m.cmd, m.ended
 		m.mu.Unlock()
--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -11,10 +11,11 @@
 	name := flag.String("case", "", "name of the case")
 	root := flag.String("root", ".", "root of the repository")
 	folder := flag.String("folder", ".", "folder for record.txt")
+	trouble := flag.Int("trouble", 1, "0 plays the case without its disruption")
 	flag.Parse()
 	play, ok := cases[*name]
 	if !ok {
 		os.Exit(int(cannotRun))
 	}
-	os.Exit(int(play(*root, *folder, os.Getenv("TROUBLE") != "0")))
+	os.Exit(int(play(*root, *folder, *trouble != 0)))
 }
--- a/review/_harness/runner.go
+++ b/review/_harness/runner.go
@@ -155,6 +155,19 @@
 	return len(r.running)
 }
 
+// runsOfJob returns the number of running tasks of a job.
+func (r *runner) runsOfJob(job string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for task := range r.running {
+		if r.up && strings.HasPrefix(task, job+".") {
+			n++
+		}
+	}
+	return n
+}
+
 // runOf returns the number of the run of a task that is running, or 0.
 func (r *runner) runOf(task string) int {
 	r.mu.Lock()
