Let what waits for the state's time come due without a commit

Cause: the leader's decisions compared times with the state's time, the time of the last committed batch, which stands still while nothing is committed. After a leader whose clock was ahead it stood still even with commits.

State.TimeAt continues the state's time with the leader's clock; a new leader anchors it. Decisions and the times of batches use it. Scheduled jobs are due by the leader's own clock. Nothing is committed for it.

--- a/core/tbassign/admit.go
+++ b/core/tbassign/admit.go
@@ -26,7 +26,7 @@
 
 // Admit reports whether a job may be accepted. If not, it also returns the delay after which the
 // caller should retry; the delay of an accepted job is 0.
-func Admit(s *tbflow.State, f *tbfleet.Fleet, l *Learner, q *tbflow.Queue, job *tbflow.Job) (bool, time.Duration) {
+func Admit(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, q *tbflow.Queue, job *tbflow.Job) (bool, time.Duration) {
 	bestEffort := job.Steps[0].BestEffort
 	processors := 0.0
 	for _, w := range f.Workers() {
@@ -45,7 +45,7 @@
 	if bestEffort {
 		processors *= bestEffortProcessorShare
 	}
-	drainTime := time.Duration(backlog(s, l, q.WorkerClass, bestEffort) / processors * float64(time.Second))
+	drainTime := time.Duration(backlog(now, s, l, q.WorkerClass, bestEffort) / processors * float64(time.Second))
 	if drainTime <= maxDrainTime {
 		return true, 0
 	}
@@ -56,7 +56,7 @@
 // Occurrences that are not due yet are skipped. If bestEffort is true, the sum includes only
 // best-effort tasks. If bestEffort is false, the sum includes only tasks that are neither
 // best-effort nor long-running.
-func backlog(s *tbflow.State, l *Learner, class string, bestEffort bool) float64 {
+func backlog(now time.Time, s *tbflow.State, l *Learner, class string, bestEffort bool) float64 {
 	sum := 0.0
 	for _, j := range s.Active() {
 		if j.WorkerClass != class || !j.HasWaitingTasks() {
@@ -65,7 +65,7 @@
 		for k := range j.Tasks {
 			for i := range j.Steps {
 				step := &j.Steps[i]
-				if step.LongRunning || step.BestEffort != bestEffort || j.DueMs(k) > s.NowMs {
+				if step.LongRunning || step.BestEffort != bestEffort || !j.IsDue(k, now) {
 					continue
 				}
 				sum += sumWaitingWork(j, l, k, i)
--- a/core/tbassign/assign_test.go
+++ b/core/tbassign/assign_test.go
@@ -394,7 +394,7 @@
 	nextJob := &tbflow.Job{Steps: []tbflow.Step{bestEffortStep(1, "x")}}
 	accepted := 0
 	for i := range 1000 {
-		ok, retryDelay := Admit(b.state, b.fleet, b.learner, fillJobQueue, nextJob)
+		ok, retryDelay := Admit(b.now, b.state, b.fleet, b.learner, fillJobQueue, nextJob)
 		if !ok {
 			qt.Check(t, retryDelay >= 0, qt.IsTrue)
 			break
@@ -405,12 +405,12 @@
 	// Best-effort work gets 0.4 of the 32 processors for 90 s; each job takes 48 processor
 	// seconds.
 	qt.Check(t, accepted >= 24 && accepted <= 25, qt.IsTrue, qt.Commentf("%d jobs were accepted", accepted))
-	ok, _ := Admit(b.state, b.fleet, b.learner, shortJobQueue, &tbflow.Job{Steps: []tbflow.Step{{Count: 1, Need: resources(1)}}})
+	ok, _ := Admit(b.now, b.state, b.fleet, b.learner, shortJobQueue, &tbflow.Job{Steps: []tbflow.Step{{Count: 1, Need: resources(1)}}})
 	qt.Check(t, ok, qt.IsTrue)
 	for _, j := range b.state.Active()[:2] {
 		b.state.Apply(b.now.UnixMilli(), tbflow.Cancel{ID: j.ID, Host: "h", Path: "/fill/" + j.ID})
 	}
-	ok, _ = Admit(b.state, b.fleet, b.learner, fillJobQueue, nextJob)
+	ok, _ = Admit(b.now, b.state, b.fleet, b.learner, fillJobQueue, nextJob)
 	qt.Check(t, ok, qt.IsTrue)
 }
 
@@ -461,7 +461,7 @@
 	})
 	b.fleet.HandlePollAnswered(b.now, tbfleet.PollAnswered{Worker: "w00", Incarnation: 1, ActualIncarnation: 1, Outcome: tbfleet.Accepted, SentAt: b.now, ClockMs: 1})
 	q := b.state.Config.Match("h", "/fill/x")
-	ok, retryDelay := Admit(b.state, b.fleet, b.learner, q, &tbflow.Job{Steps: []tbflow.Step{bestEffortStep(1, "x")}})
+	ok, retryDelay := Admit(b.now, b.state, b.fleet, b.learner, q, &tbflow.Job{Steps: []tbflow.Step{bestEffortStep(1, "x")}})
 	qt.Check(t, ok, qt.IsTrue, qt.Commentf("rejected for %s", retryDelay))
 }
 
--- a/core/tbassign/place.go
+++ b/core/tbassign/place.go
@@ -280,7 +280,7 @@
 	switch {
 	case bestIndex >= 0:
 		return c.workers[bestIndex]
-	case bestUsingHeadroom >= 0 && c.planState.state.NowMs-t.WaitingSinceMs > headroomWaitMs:
+	case bestUsingHeadroom >= 0 && c.planState.nowMs-t.WaitingSinceMs > headroomWaitMs:
 		if r := c.workers[bestUsingHeadroom]; headroomCount >= 2 || keepsHeadroom(r.free, c.step.step, r.worker) {
 			return r
 		}
@@ -295,7 +295,7 @@
 // avoids reports whether a task must not be placed on a worker now because its last run failed there.
 // If the class has only one worker, nothing is avoided.
 func (p *planState) avoids(t *tbflow.Task, r *workerState, workerCount int) bool {
-	return t.LastFailedOn == r.worker.ID && workerCount > 1 && p.state.NowMs-t.WaitingSinceMs <= avoidWaitMs
+	return t.LastFailedOn == r.worker.ID && workerCount > 1 && p.nowMs-t.WaitingSinceMs <= avoidWaitMs
 }
 
 // canPlace reports whether a worker can take one more task of a step.
--- a/core/tbassign/plan.go
+++ b/core/tbassign/plan.go
@@ -16,7 +16,7 @@
 
 // planAll returns the runs of Plan and how many times a worker was scored for a step.
 func planAll(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer, limit int) ([]tbflow.Assignment, int) {
-	steps := waitingSteps(s, l)
+	steps := waitingSteps(now, s, l)
 	if len(steps) == 0 {
 		return nil, 0
 	}
@@ -41,7 +41,9 @@
 // planState is the working state of one plan. It holds the usable workers of each class that the
 // plan considers (see addWorkers) and the capacity that the plan has not assigned yet.
 type planState struct {
-	now            time.Time
+	now time.Time
+	// nowMs is the state's time at now, in milliseconds since 1970.
+	nowMs          int64
 	state          *tbflow.State
 	fleet          *tbfleet.Fleet
 	learner        *Learner
@@ -78,7 +80,7 @@
 // depends on the workloads.
 func newPlanState(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer, steps []*waitingStep) *planState {
 	p := &planState{
-		state: s, fleet: f, learner: l, rebalancer: g, now: now, workersByClass: map[string][]*workerState{},
+		state: s, fleet: f, learner: l, rebalancer: g, now: now, nowMs: s.TimeAt(now), workersByClass: map[string][]*workerState{},
 		spreadCountedSteps: map[stepRef]bool{}, unplaceable: map[int]tbresource.Amount{}, candidates: candidates{buffers: &l.planBuffers},
 	}
 	p.addWorkers(f, steps)
--- a/core/tbassign/plan_bench_test.go
+++ b/core/tbassign/plan_bench_test.go
@@ -225,7 +225,7 @@
 			b.ReportAllocs()
 			b.ResetTimer()
 			for range b.N {
-				Admit(fx.state, fx.fleet, fx.learner, queue, &job)
+				Admit(fx.now, fx.state, fx.fleet, fx.learner, queue, &job)
 			}
 		})
 	}
--- a/core/tbassign/planner.go
+++ b/core/tbassign/planner.go
@@ -72,7 +72,7 @@
 // would begin with the same runs if no queue of best-effort work has a higher priority than a
 // queue of short jobs.
 func PlanShortSteps(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer, limit int) []tbflow.Assignment {
-	steps := shortSteps(s, l)
+	steps := shortSteps(now, s, l)
 	if len(steps) == 0 {
 		return nil
 	}
@@ -97,7 +97,7 @@
 //
 //   - steps with a lower priority than a late short step or a waiting long-running step,
 //   - steps with the same priority as an overdue long-running step.
-func shortSteps(s *tbflow.State, l *Learner) []*waitingStep {
+func shortSteps(now time.Time, s *tbflow.State, l *Learner) []*waitingStep {
 	var steps []*waitingStep
 	// Steps with a priority number of cutoff or more are left to the full plan. A higher number is
 	// a lower priority; lowestPriority is the highest number of the selected steps.
@@ -107,10 +107,10 @@
 			continue
 		}
 		for k := range j.Tasks {
-			if j.DueMs(k) > s.NowMs {
+			if !j.IsDue(k, now) {
 				continue
 			}
-			for _, w := range waitingStepsOf(s, l, j, k) {
+			for _, w := range waitingStepsOf(now, s, l, j, k) {
 				switch {
 				case !isShort(w.step):
 				case w.lateness == onTime:
@@ -122,7 +122,7 @@
 			}
 		}
 	}
-	cutoff = min(cutoff, longRunningCutoff(s, lowestPriority))
+	cutoff = min(cutoff, longRunningCutoff(now, s, lowestPriority))
 	steps = slices.DeleteFunc(steps, func(w *waitingStep) bool { return w.job.Priority >= cutoff })
 	slices.SortStableFunc(steps, func(a, b *waitingStep) int { return compareWaiting(*a, *b) })
 	return steps
@@ -132,17 +132,17 @@
 // long-running step. For a waiting long-running step with number p, this is p if one of its tasks
 // is overdue, and otherwise p+1. Without a waiting long-running step, the result is math.MaxInt.
 // Jobs with a number above lowestPriority are ignored.
-func longRunningCutoff(s *tbflow.State, lowestPriority int) int {
+func longRunningCutoff(now time.Time, s *tbflow.State, lowestPriority int) int {
 	priorityCutoff := math.MaxInt
 	for _, j := range s.Active() {
 		if !j.HasWaitingTasks() || j.Priority > lowestPriority || j.Priority >= priorityCutoff {
 			continue
 		}
 		for k := range j.Tasks {
-			if j.DueMs(k) > s.NowMs {
+			if !j.IsDue(k, now) {
 				continue
 			}
-			switch anyWaiting, anyOverdue := hasWaitingLongRunning(s.NowMs, j, k); {
+			switch anyWaiting, anyOverdue := hasWaitingLongRunning(s.TimeAt(now), j, k); {
 			case anyOverdue:
 				priorityCutoff = min(priorityCutoff, j.Priority)
 			case anyWaiting:
--- a/core/tbassign/rebalance.go
+++ b/core/tbassign/rebalance.go
@@ -85,7 +85,7 @@
 	}
 	g.nextRoundAt = now.Add(rebalanceInterval)
 	g.removeExpired(now)
-	backlog := bestEffortBacklog(s, l)
+	backlog := bestEffortBacklog(now, s, l)
 	if len(backlog) == 0 {
 		return nil
 	}
@@ -114,7 +114,7 @@
 
 // bestEffortBacklog returns the work of the waiting best-effort tasks that may start, by worker
 // class and image, in processor seconds.
-func bestEffortBacklog(s *tbflow.State, l *Learner) map[string]map[string]float64 {
+func bestEffortBacklog(now time.Time, s *tbflow.State, l *Learner) map[string]map[string]float64 {
 	backlog := map[string]map[string]float64{}
 	for _, j := range s.Active() {
 		if !j.HasWaitingTasks() {
@@ -123,7 +123,7 @@
 		for k := range j.Tasks {
 			for i := range j.Steps {
 				step := &j.Steps[i]
-				if !step.BestEffort || j.DueMs(k) > s.NowMs || !j.StepReady(k, i) {
+				if !step.BestEffort || !j.IsDue(k, now) || !j.StepReady(k, i) {
 					continue
 				}
 				work := sumWaitingWork(j, l, k, i)
--- a/core/tbassign/rebalance_round.go
+++ b/core/tbassign/rebalance_round.go
@@ -91,6 +91,7 @@
 		}
 	}
 	notRunningSteps := stepsNotRunning(s, f)
+	nowMs := s.TimeAt(now)
 	for _, w := range rr.selectWorkers(f, g.roundNumber) {
 		c := rr.classesByName[w.Class]
 		if c == nil || !f.Usable(w, now) {
@@ -108,7 +109,7 @@
 			}
 			run := w.Run(ref)
 			_, onCooldown := g.movePlannedAt[ref]
-			age := time.Duration(s.NowMs-t.AssignedMs) * time.Millisecond
+			age := time.Duration(nowMs-t.AssignedMs) * time.Millisecond
 			r.tasks = append(r.tasks, &rebalanceTask{ref: ref, step: step, image: c.imageOf(step.Image),
 				movable: !onCooldown && age > minRunTimeBeforeMove && !notRunningSteps[stepRefOf(ref)] && run != nil && run.Phase == tbfleet.RunExecuting})
 		})
--- a/core/tbassign/rebalance_test.go
+++ b/core/tbassign/rebalance_test.go
@@ -169,6 +169,20 @@
 	qt.Check(t, b.rebalancer.reservedWorker(b.now, b.state, moves[0].Ref), qt.Equals, "")
 }
 
+// Guards against reservations that do not expire while nothing is committed: the stopped task of a swap
+// waited for ever for capacity that did not become free.
+func TestReservationsExpireInAQuietSystem(t *testing.T) {
+	b := newMixedFixture(t, 2)
+	b.submit("fill", "f", bestEffortStep(200, "bad"))
+	moves := b.rebalancer.PlanMoves(b.now, b.state, b.fleet, b.learner)
+	qt.Assert(t, moves, qt.HasLen, 2)
+	b.executeMoves(moves[:1])
+	b.now = b.now.Add(restartTimeout + 100*time.Millisecond)
+	qt.Check(t, b.rebalancer.reservedWorker(b.now, b.state, moves[0].Ref), qt.Equals, "")
+	b.planAndCommit()
+	qt.Check(t, b.state.Jobs[moves[0].Ref.Job].Task(moves[0].Ref).Worker, qt.Equals, moves[0].From)
+}
+
 // A move may take longer than one round. The next round used to reserve the same capacity for
 // another task. All but one of these tasks then found the capacity taken. In one case, this
 // happened to five tasks in six seconds.
--- a/core/tbassign/reference_moves_test.go
+++ b/core/tbassign/reference_moves_test.go
@@ -112,7 +112,7 @@
 			}
 			d.learnRandomSlope()
 			d.commit(tbflow.Assign{Assignments: Plan(d.now, d.state, d.fleet, d.learner, d.rebalancer, 1000)})
-			backlog := bestEffortBacklog(d.state, d.learner)
+			backlog := bestEffortBacklog(d.now, d.state, d.learner)
 			newRound := func() *rebalanceRound {
 				rr := newRebalanceRound(d.now, d.state, d.fleet, d.learner, d.rebalancer, backlog)
 				rr.setWeights(backlog)
@@ -136,7 +136,7 @@
 func TestRebalanceRoundIsBoundedOnLargeFleets(t *testing.T) {
 	b, rng := newLoadedFixture(t, 500)
 	b.submitMixedJobs(rng, 100)
-	backlog := bestEffortBacklog(b.state, b.learner)
+	backlog := bestEffortBacklog(b.now, b.state, b.learner)
 	seen := map[string]bool{}
 	for round := range 3 {
 		rr := newRebalanceRound(b.now, b.state, b.fleet, b.learner, b.rebalancer, backlog)
--- a/core/tbassign/reference_test.go
+++ b/core/tbassign/reference_test.go
@@ -276,7 +276,7 @@
 			best, bestScore = r, score
 		}
 	}
-	if best == nil && bestUsingHeadroom != nil && p.state.NowMs-t.WaitingSinceMs > headroomWaitMs &&
+	if best == nil && bestUsingHeadroom != nil && p.state.TimeAt(p.now)-t.WaitingSinceMs > headroomWaitMs &&
 		(headroomCount >= 2 || bestUsingHeadroom.keepsHeadroom(w.step)) {
 		return bestUsingHeadroom
 	}
@@ -297,7 +297,7 @@
 	switch {
 	case !need.Fits(r.free):
 		return false
-	case t.LastFailedOn == r.worker.ID && workers > 1 && p.state.NowMs-t.WaitingSinceMs <= avoidWaitMs:
+	case t.LastFailedOn == r.worker.ID && workers > 1 && p.state.TimeAt(p.now)-t.WaitingSinceMs <= avoidWaitMs:
 		return false
 	}
 	return satisfiesConstraints(w.step, r.worker, r.spreadCounts[w.stepRef()])
@@ -424,13 +424,13 @@
 	var all []waitingStep
 	for _, j := range s.Active() {
 		for k := range j.Tasks {
-			if j.DueMs(k) > s.NowMs {
+			if !j.IsDue(k, p.now) {
 				continue
 			}
-			all = append(all, referenceWaitingSteps(s, l, j, k)...)
+			all = append(all, referenceWaitingSteps(s.TimeAt(p.now), l, j, k)...)
 		}
 	}
-	markPostponed(s.NowMs, pointersTo(all), p.bestEffortCapacity)
+	markPostponed(s.TimeAt(p.now), pointersTo(all), p.bestEffortCapacity)
 	slices.SortStableFunc(all, compareWaiting)
 	return all
 }
--- a/core/tbassign/reference_waiting_test.go
+++ b/core/tbassign/reference_waiting_test.go
@@ -6,7 +6,7 @@
 	"tamarackbarrow/core/tbflow"
 )
 
-func referenceWaitingSteps(s *tbflow.State, l *Learner, j *tbflow.Job, k int) []waitingStep {
+func referenceWaitingSteps(nowMs int64, l *Learner, j *tbflow.Job, k int) []waitingStep {
 	var all []waitingStep
 	for i := range j.Steps {
 		var refs []tbflow.TaskRef
@@ -23,11 +23,11 @@
 		remaining := referenceRemainingTime(j, l, i).Milliseconds()
 		w.deadlineMs = j.DueMs(k) + objective
 		w.latestStartMs = w.deadlineMs - remaining
-		w.hasOverdueTask = w.step.LongRunning && hasOverdueTask(s.NowMs, j, refs)
-		if w.latestStartMs < s.NowMs && !w.step.LongRunning {
+		w.hasOverdueTask = w.step.LongRunning && hasOverdueTask(nowMs, j, refs)
+		if w.latestStartMs < nowMs && !w.step.LongRunning {
 			w.lateness = late
 			w.latestStartMs = j.DueMs(k) + usefulFactor*objective - remaining
-			if w.latestStartMs < s.NowMs {
+			if w.latestStartMs < nowMs {
 				w.lateness = tooLate
 			}
 		}
--- a/core/tbassign/reservations.go
+++ b/core/tbassign/reservations.go
@@ -88,7 +88,7 @@
 		return false
 	}
 	if t := j.Task(ref); t.Phase == tbflow.TaskWaiting {
-		return s.NowMs-t.WaitingSinceMs > restartTimeout.Milliseconds()
+		return s.TimeAt(now)-t.WaitingSinceMs > restartTimeout.Milliseconds()
 	}
 	return !now.Before(r.stopDeadline)
 }
--- a/core/tbassign/short_demand.go
+++ b/core/tbassign/short_demand.go
@@ -54,7 +54,7 @@
 			continue
 		}
 		for k := range j.Tasks {
-			if j.DueMs(k) > s.NowMs {
+			if !j.IsDue(k, now) {
 				continue
 			}
 			for i := range j.Steps {
--- a/core/tbassign/suspects.go
+++ b/core/tbassign/suspects.go
@@ -42,7 +42,7 @@
 		return nil, true
 	}
 	best := p.bestForSuspect(w, t, crashes)
-	mayWait := suspectedCrashes > 1 && p.state.NowMs-t.WaitingSinceMs < suspectWait.Milliseconds()
+	mayWait := suspectedCrashes > 1 && p.nowMs-t.WaitingSinceMs < suspectWait.Milliseconds()
 	if mayWait && (best.r == nil || best.unproven > 0 || best.crashedHere) {
 		return nil, true
 	}
--- a/core/tbassign/waiting.go
+++ b/core/tbassign/waiting.go
@@ -76,17 +76,17 @@
 }
 
 // waitingSteps returns all steps that may start now.
-func waitingSteps(s *tbflow.State, l *Learner) []*waitingStep {
+func waitingSteps(now time.Time, s *tbflow.State, l *Learner) []*waitingStep {
 	var all []*waitingStep
 	for _, j := range s.Active() {
 		if !j.HasWaitingTasks() {
 			continue
 		}
 		for k := range j.Tasks {
-			if j.DueMs(k) > s.NowMs {
+			if !j.IsDue(k, now) {
 				continue
 			}
-			all = appendWaiting(all, s, l, j, k)
+			all = appendWaiting(all, now, s, l, j, k)
 		}
 	}
 	return all
@@ -95,7 +95,7 @@
 // orderForStart marks the best-effort steps to postpone, sets the image indexes of best-effort
 // steps, and sorts all steps by the order in which they should start.
 func (p *planState) orderForStart(all []*waitingStep) {
-	markPostponed(p.state.NowMs, all, p.bestEffortCapacity)
+	markPostponed(p.nowMs, all, p.bestEffortCapacity)
 	for _, w := range all {
 		if w.step.BestEffort {
 			w.imageIndex = p.images.internBestEffort(w.step.Image)
@@ -104,12 +104,13 @@
 	slices.SortStableFunc(all, func(a, b *waitingStep) int { return compareWaiting(*a, *b) })
 }
 
-func waitingStepsOf(s *tbflow.State, l *Learner, j *tbflow.Job, k int) []*waitingStep {
-	return appendWaiting(nil, s, l, j, k)
+func waitingStepsOf(now time.Time, s *tbflow.State, l *Learner, j *tbflow.Job, k int) []*waitingStep {
+	return appendWaiting(nil, now, s, l, j, k)
 }
 
 // appendWaiting appends the waiting steps of one occurrence of a job.
-func appendWaiting(all []*waitingStep, s *tbflow.State, l *Learner, j *tbflow.Job, k int) []*waitingStep {
+func appendWaiting(all []*waitingStep, now time.Time, s *tbflow.State, l *Learner, j *tbflow.Job, k int) []*waitingStep {
+	nowMs := s.TimeAt(now)
 	var remainingByStep []time.Duration
 	var longestPath time.Duration
 	var work float64
@@ -131,11 +132,11 @@
 		}
 		w.deadlineMs = j.DueMs(k) + objectiveMs
 		w.latestStartMs = w.deadlineMs - remainingMs
-		w.hasOverdueTask = w.step.LongRunning && hasOverdueTask(s.NowMs, j, w.waitingTasks())
-		if w.latestStartMs < s.NowMs && !w.step.LongRunning {
+		w.hasOverdueTask = w.step.LongRunning && hasOverdueTask(nowMs, j, w.waitingTasks())
+		if w.latestStartMs < nowMs && !w.step.LongRunning {
 			w.lateness = late
 			w.latestStartMs = j.DueMs(k) + usefulFactor*objectiveMs - remainingMs
-			if w.latestStartMs < s.NowMs {
+			if w.latestStartMs < nowMs {
 				w.lateness = tooLate
 			}
 		}
--- a/core/tbcontrol/control.go
+++ b/core/tbcontrol/control.go
@@ -323,7 +323,7 @@
 // them.
 func (c *Control) proposeWaiting(now time.Time) {
 	for len(c.waitingProposals) > 0 && len(c.inFlightBatches) < c.cfg.MaxInFlight && c.IsConfirmedLeader(now) {
-		batch := tbstate.Batch{NowMs: now.UnixMilli()}
+		batch := tbstate.Batch{NowMs: c.state.TimeAt(now)}
 		takenProposals := 0
 		for _, p := range c.waitingProposals {
 			if takenProposals > 0 && len(batch.Commands)+len(p.commands) > c.cfg.MaxBatchCommands {
--- a/core/tbcontrol/flow.go
+++ b/core/tbcontrol/flow.go
@@ -73,7 +73,7 @@
 	}
 	switch q := ev.LeaderRequest.(type) {
 	case SubmitRequested:
-		c.onSubmit(ev.Request, q)
+		c.onSubmit(now, ev.Request, q)
 	case CancelRequested:
 		c.commitThenAnswer(ev, q.Cancel)
 	case ConfigPutRequested:
@@ -122,7 +122,7 @@
 
 // onSubmit admits a job and proposes its submission. The submission of a job whose id is known succeeds
 // without a change.
-func (c *Control) onSubmit(request uint64, q SubmitRequested) {
+func (c *Control) onSubmit(now time.Time, request uint64, q SubmitRequested) {
 	flow := c.state.Flow
 	queue := flow.Config.Match(q.Submit.Host, q.Submit.Path)
 	switch {
@@ -142,7 +142,7 @@
 		return
 	}
 	l := c.leader.flow
-	if isAdmitted, retryAfter := tbassign.Admit(flow, l.fleet, l.learner, queue, &q.Submit.Job); !isAdmitted && !l.pendingSubmits[q.Submit.Job.ID] {
+	if isAdmitted, retryAfter := tbassign.Admit(now, flow, l.fleet, l.learner, queue, &q.Submit.Job); !isAdmitted && !l.pendingSubmits[q.Submit.Job.ID] {
 		c.emit(Log{Message: "job turned away", Args: []any{
 			"job", q.Submit.Job.ID, "queue", queue.Key.Host + queue.Key.Prefix, "retryAfterMs", retryAfter.Milliseconds(), "version", flow.Config.Version,
 		}})
--- a/core/tbcontrol/group_test.go
+++ b/core/tbcontrol/group_test.go
@@ -41,6 +41,8 @@
 	// busyUntil is when the replica has finished its earlier events. Later events wait until then. The zero
 	// time means that it is not busy.
 	busyUntil time.Time
+	// clockOffset is how far the replica's clock is ahead.
+	clockOffset time.Duration
 }
 
 // simulatedGroup runs replicas in memory. Messages arrive one time step later, and disks save at once.
@@ -55,6 +57,8 @@
 	// silenceTimeout is tbfleet.Params.SilenceTimeout of replicas that start from now on. 0 stands for one
 	// hour.
 	silenceTimeout time.Duration
+	// clockOffset is how far the clocks of replicas that start from now on are ahead of now.
+	clockOffset time.Duration
 }
 
 const (
@@ -63,8 +67,8 @@
 )
 
 // newGroup returns a group of three initial replicas, two fewer than the configured size.
-func newGroup(t *testing.T) *simulatedGroup {
-	g := &simulatedGroup{t: t, now: time.UnixMilli(1_700_000_000_000)}
+func newGroup(t *testing.T, clockOffset time.Duration) *simulatedGroup {
+	g := &simulatedGroup{t: t, now: time.UnixMilli(1_700_000_000_000), clockOffset: clockOffset}
 	var initial []tbconsensus.Member
 	for i := range 3 {
 		initial = append(initial, tbconsensus.Member{ID: tbconsensus.ReplicaID(i + 1), Address: fmt.Sprintf("a%d", i+1)})
@@ -75,6 +79,9 @@
 	return g
 }
 
+// timeAt returns the time that the clock of a replica shows.
+func (g *simulatedGroup) timeAt(r *replica) time.Time { return g.now.Add(r.clockOffset) }
+
 func (g *simulatedGroup) start(id tbconsensus.ReplicaID, address string, d *disk) *replica {
 	silenceTimeout := time.Hour
 	if g.silenceTimeout > 0 {
@@ -91,9 +98,9 @@
 			Lease: 4 * time.Second, MaxLease: 6 * time.Second, MaxOrderDelay: 12 * time.Second, ClockRateBound: 0.02,
 			PollWait: time.Second, OrderTimeout: time.Second, SilenceTimeout: silenceTimeout, PollRetryDelay: time.Second,
 		},
-	}, tbcodec.New(func(source []byte) (tbbundle.Bundle, error) { return tbbundlefile.Parse("bundle", source) }), d.persisted, g.now)
+	}, tbcodec.New(func(source []byte) (tbbundle.Bundle, error) { return tbbundlefile.Parse("bundle", source) }), d.persisted, g.now.Add(g.clockOffset))
 	qt.Assert(g.t, err, qt.IsNil)
-	r := &replica{id: id, address: address, disk: d, control: control, answerByRequest: map[uint64]tbcontrol.AnswerLeaderRequest{}}
+	r := &replica{id: id, address: address, disk: d, control: control, clockOffset: g.clockOffset, answerByRequest: map[uint64]tbcontrol.AnswerLeaderRequest{}}
 	for i, old := range g.replicas {
 		if old.address == address {
 			g.replicas[i] = r
@@ -112,7 +119,7 @@
 			r.busyUntil = latest(r.busyUntil, g.now).Add(applyTime)
 		}
 	}()
-	for _, e := range append(r.control.Step(g.now, ev), r.control.Step(g.now, tbcontrol.EventBatchEnded{})...) {
+	for _, e := range append(r.control.Step(g.timeAt(r), ev), r.control.Step(g.timeAt(r), tbcontrol.EventBatchEnded{})...) {
 		switch e := e.(type) {
 		case tbcontrol.SendMessages:
 			g.send(r, e.Messages)
@@ -198,7 +205,7 @@
 
 func (g *simulatedGroup) leader() *replica {
 	for _, r := range g.replicas {
-		if !r.isolated && r.control.IsConfirmedLeader(g.now) {
+		if !r.isolated && r.control.IsConfirmedLeader(g.timeAt(r)) {
 			return r
 		}
 	}
@@ -236,8 +243,11 @@
 }
 
 // newFullGroup returns a group of five voters that has a configuration.
-func newFullGroup(t *testing.T) *simulatedGroup {
-	g := newGroup(t)
+func newFullGroup(t *testing.T) *simulatedGroup { return newFullGroupWithClocks(t, 0) }
+
+// newFullGroupWithClocks is newFullGroup with replicas whose clocks are ahead.
+func newFullGroupWithClocks(t *testing.T, clockOffset time.Duration) *simulatedGroup {
+	g := newGroup(t, clockOffset)
 	g.advance(3 * time.Second)
 	g.join(101, "a4")
 	g.join(102, "a5")
@@ -250,7 +260,7 @@
 // A group that is not complete has three or four voters. If two disks failed, an acknowledged change
 // could be lost. Therefore changes are refused until there are five voters.
 func TestIncompleteGroupRefusesChanges(t *testing.T) {
-	g := newGroup(t)
+	g := newGroup(t, 0)
 	g.advance(3 * time.Second)
 	qt.Check(t, g.putConfig(1), qt.Equals, tbcontrol.NotReady)
 	g.join(101, "a4")
--- a/core/tbcontrol/leadership.go
+++ b/core/tbcontrol/leadership.go
@@ -47,6 +47,7 @@
 const expiryCheckInterval = 100 * time.Millisecond
 
 func newLeaderState(c *Control, now time.Time) *leaderState {
+	c.state.AnchorTime(now)
 	l := &leaderState{
 		leases:                    tblease.NewGrantor(c.cfg.EntryLease),
 		closingSessions:           map[string]bool{},
--- a/core/tbcontrol/machines_fake_test.go
+++ b/core/tbcontrol/machines_fake_test.go
@@ -264,7 +264,7 @@
 		sim.answer(r, o.Target, tbcontrol.StopAnswered{Term: termOf(o.Target), Answer: a})
 	case tbfleet.Poll:
 		m := sim.machineAt(o.Target.Address)
-		sim.polls = append(sim.polls, openPoll{replica: r, machine: m, poll: o, sentAt: sim.now, answerAt: sim.now.Add(o.Wait), life: m.incarnation})
+		sim.polls = append(sim.polls, openPoll{replica: r, machine: m, poll: o, sentAt: sim.timeAt(r), answerAt: sim.now.Add(o.Wait), life: m.incarnation})
 	}
 }
 
--- a/core/tbflow/state.go
+++ b/core/tbflow/state.go
@@ -66,6 +66,8 @@
 	runChanges map[string]uint64
 	// endedJobs holds the ended jobs that are still kept, in the order in which they ended.
 	endedJobs []*Job
+	// anchor is set by AnchorTime.
+	anchor timeAnchor
 }
 
 // New returns an empty state.
--- a/core/tbplacement/planner.go
+++ b/core/tbplacement/planner.go
@@ -235,7 +235,7 @@
 
 // exceedsShortBound reports whether the job is placed and has run longer than ShortBound.
 func (r *round) exceedsShortBound(j *tbstate.Job) bool {
-	return j.Phase.Placed() && r.s.NowMs-j.StartedMs > r.p.cfg.ShortBound.Milliseconds()
+	return j.Phase.Placed() && r.nowMs-j.StartedMs > r.p.cfg.ShortBound.Milliseconds()
 }
 
 // minRunsForMean is the number of finished runs from which the mean run time of a kind is used.
--- a/core/tbplacement/round.go
+++ b/core/tbplacement/round.go
@@ -40,9 +40,11 @@
 
 // round is the working state of one call of Plan, which is one scheduling round.
 type round struct {
-	p        *Planner
-	s        *tbstate.State
-	now      time.Time
+	p   *Planner
+	s   *tbstate.State
+	now time.Time
+	// nowMs is the state's time at now, in milliseconds since 1970.
+	nowMs    int64
 	workers  []*workerState
 	capacity tbresource.Amount
 	// longUse is the total reserved by long jobs, including those that this round starts.
@@ -66,7 +68,7 @@
 }
 
 func newRound(p *Planner, s *tbstate.State, now time.Time) *round {
-	r := &round{p: p, s: s, now: now, teamUse: map[string]tbresource.Amount{}, unplaceable: map[placementKey]WaitReason{}}
+	r := &round{p: p, s: s, now: now, nowMs: s.TimeAt(now), teamUse: map[string]tbresource.Amount{}, unplaceable: map[placementKey]WaitReason{}}
 	r.findObservedLongKinds()
 	for _, id := range s.WorkerIDs() {
 		w := s.Workers[id]
@@ -74,7 +76,7 @@
 			continue
 		}
 		r.capacity = r.capacity.Add(w.Capacity)
-		if w.BackoffUntilMs > s.NowMs {
+		if w.BackoffUntilMs > r.nowMs {
 			continue
 		}
 		r.workers = append(r.workers, r.newWorkerState(w))
@@ -297,7 +299,7 @@
 		if !ok || float64(len(victims)) > r.p.evictionTokens {
 			continue
 		}
-		if best == nil || evictionCostMs(r.s, victims) < evictionCostMs(r.s, best) {
+		if best == nil || r.evictionCostMs(victims) < r.evictionCostMs(best) {
 			best, bestWorker = victims, st
 		}
 	}
@@ -348,7 +350,7 @@
 		if c := cmp.Compare(a.Rank, b.Rank); c != 0 {
 			return c
 		}
-		return cmp.Compare(lostRunMs(r.s, a), lostRunMs(r.s, b))
+		return cmp.Compare(r.lostRunMs(a), r.lostRunMs(b))
 	})
 	return tasks
 }
@@ -359,19 +361,19 @@
 }
 
 // lostRunMs returns the run time in milliseconds that an eviction discards.
-func lostRunMs(s *tbstate.State, j *tbstate.Job) int64 {
-	if isCheckpointable(s, j) {
+func (r *round) lostRunMs(j *tbstate.Job) int64 {
+	if isCheckpointable(r.s, j) {
 		return 0
 	}
-	return s.NowMs - j.StartedMs
+	return r.nowMs - j.StartedMs
 }
 
 // evictionCostMs returns the cost of evicting jobs, in milliseconds of lost run time.
-func evictionCostMs(s *tbstate.State, jobs []*tbstate.Job) int64 {
+func (r *round) evictionCostMs(jobs []*tbstate.Job) int64 {
 	// Each evicted task costs as much as 1 s of lost run time.
 	sum := int64(len(jobs)) * 1000
 	for _, j := range jobs {
-		sum += lostRunMs(s, j)
+		sum += r.lostRunMs(j)
 	}
 	return sum
 }
