Remove ended jobs independently of the order in which they ended

The removal of expired jobs stopped at the first one with an assigned run, so that replicas could keep different jobs; one such job also kept all later ones.

Each expired job without an assigned run is now removed.

--- a/core/tbflow/state.go
+++ b/core/tbflow/state.go
@@ -277,20 +277,34 @@
 	s.endedJobs = append(s.endedJobs, j)
 }
 
-// removeExpired removes ended jobs that were kept for EndedRetention, in the order in which they
-// ended. It stops at the first job that still has an assigned run.
+// removeExpired removes the ended jobs that were kept for EndedRetention and have no assigned run. Which
+// jobs are removed does not depend on the order of jobs that ended at the same time, because that order is
+// not the same on a replica that has read a snapshot.
 func (s *State) removeExpired() {
-	for len(s.endedJobs) > 0 && s.endedJobs[0].EndedMs+EndedRetention.Milliseconds() < s.NowMs {
-		j := s.endedJobs[0]
-		hasRuns := false
-		j.EachTask(func(_ TaskRef, t *Task) { hasRuns = hasRuns || t.Phase == TaskAssigned })
-		if hasRuns {
-			return
+	n := s.expiredJobCount(s.NowMs)
+	if n == 0 {
+		return
+	}
+	kept := make([]*Job, 0, len(s.endedJobs)-n)
+	for _, j := range s.endedJobs[:n] {
+		if j.hasAssignedTask() {
+			kept = append(kept, j)
+			continue
 		}
 		s.removeCrashes(j)
 		delete(s.Jobs, j.ID)
-		s.endedJobs = s.endedJobs[1:]
 	}
+	s.endedJobs = append(kept, s.endedJobs[n:]...)
+}
+
+// expiredJobCount returns how many ended jobs have been kept for EndedRetention at nowMs. These are the
+// first ones of endedJobs.
+func (s *State) expiredJobCount(nowMs int64) int {
+	n := 0
+	for n < len(s.endedJobs) && s.endedJobs[n].EndedMs+EndedRetention.Milliseconds() < nowMs {
+		n++
+	}
+	return n
 }
 
 func (s *State) assign(a Assignment) Reason {
