Bound every command, log entry, message and stored state in bytes

Cause: up to 512 commands became one log entry, whatever their size. drpc closes a connection on a message above 4 MiB, so that the entry was sent again and again and nothing behind it could be committed.

Entries are filled up to 512 KiB. A change of more than 10 MiB is refused where it comes in, messages may have 16 MiB on both ends, and waiting commands, stored jobs, payloads, kept answers, answers of runners and learned interference are bounded. The log is also compacted by bytes. Commands are encoded when they are queued, so that their sizes are known; protobuf messages are joined by appending them.

--- a/core/tbassign/interference.go
+++ b/core/tbassign/interference.go
@@ -116,14 +116,22 @@
 // accepts exactly this value.
 const maxKnownVariance = priorVariance / 3
 
+// maxKnownBytes bounds the names in the result of KnownInterference, in bytes. The names of images are as
+// long as submitters like, and all pairs of them are recorded again and again.
+const maxKnownBytes = 64 << 10
+
 // KnownInterference returns the slopes with a variance below maxKnownVariance, sorted by
-// long-running image and then by best-effort image.
+// long-running image and then by best-effort image. It leaves out those with which the names would exceed
+// maxKnownBytes.
 func (l *Learner) KnownInterference() []tbflow.Interference {
 	var all []tbflow.Interference
+	size := 0
 	for _, longRunning := range slices.Sorted(maps.Keys(l.slopeFilters)) {
 		m := l.slopeFilters[longRunning]
 		for _, bestEffort := range slices.Sorted(maps.Keys(m.indexByImage)) {
-			if i := m.indexByImage[bestEffort]; m.covariances[i][i] < maxKnownVariance {
+			names := len(longRunning) + len(bestEffort)
+			if i := m.indexByImage[bestEffort]; m.covariances[i][i] < maxKnownVariance && size+names <= maxKnownBytes {
+				size += names
 				all = append(all, tbflow.Interference{LongRunningImage: longRunning, BestEffortImage: bestEffort, Slope: m.slopes[i]})
 			}
 		}
--- a/core/tbcontrol/control.go
+++ b/core/tbcontrol/control.go
@@ -15,6 +15,10 @@
 	replica           *tbconsensus.Replica
 	state             *tbstate.State
 	lastSnapshotIndex uint64
+	// lastSnapshotBytes is the size of the last snapshot, and bytesSinceSnapshot that of the entries applied
+	// since then.
+	lastSnapshotBytes  int
+	bytesSinceSnapshot int
 	// unapplied holds the committed entries that are not applied yet. lastApplyAt is the time of the last
 	// call of applyCommitted. appliedInEventBatch is the number of entries applied since the last
 	// EventBatchEnded.
@@ -23,8 +27,10 @@
 	appliedInEventBatch int
 	waitingProposals    []proposal
 	inFlightBatches     []inFlightBatch
-	leader              *leaderState
-	pendingLogLines     logLines
+	// pendingBytes is the size of the commands in waitingProposals and inFlightBatches.
+	pendingBytes    int
+	leader          *leaderState
+	pendingLogLines logLines
 	// pendingLeaderRequests holds the numbers of the requests to the leader whose commands are not applied yet.
 	pendingLeaderRequests map[uint64]bool
 	// deferredReads holds the JobStateRequested requests that wait for the end of their job to be recorded.
@@ -33,10 +39,12 @@
 	effects       []Effect
 }
 
-// proposal holds the commands of one request. If request is 0, the commands are from the leader itself.
+// proposal holds the encoded commands of one request. If request is 0, the commands are from the leader
+// itself.
 type proposal struct {
-	request  uint64
-	commands []tbstate.Command
+	request      uint64
+	commandCount int
+	encoded      []byte
 }
 
 // inFlightBatch is a proposed log entry that is not applied yet.
@@ -59,7 +67,7 @@
 	return &Control{
 		cfg: cfg, codec: codec, state: state, pendingLeaderRequests: map[uint64]bool{},
 		replica:           tbconsensus.New(cfg.Consensus, persisted, now),
-		lastSnapshotIndex: persisted.Snapshot.Meta.Index,
+		lastSnapshotIndex: persisted.Snapshot.Meta.Index, lastSnapshotBytes: len(persisted.Snapshot.Data),
 	}, nil
 }
 
@@ -227,7 +235,7 @@
 		panic(fmt.Sprintf("decode snapshot of the leader at index %d: %v", s.Meta.Index, err))
 	}
 	c.state = state
-	c.lastSnapshotIndex = s.Meta.Index
+	c.lastSnapshotIndex, c.lastSnapshotBytes, c.bytesSinceSnapshot = s.Meta.Index, len(s.Data), 0
 	c.unapplied = nil
 }
 
@@ -260,6 +268,7 @@
 // apply applies a committed entry to the state. shouldLog is false if an earlier leader has already
 // logged the decisions in the entry.
 func (c *Control) apply(now time.Time, e tbconsensus.Entry, shouldLog bool) {
+	c.bytesSinceSnapshot += len(e.Data)
 	if e.Kind != tbconsensus.EntryData {
 		return
 	}
@@ -284,7 +293,8 @@
 	batch := c.inFlightBatches[0]
 	c.inFlightBatches = c.inFlightBatches[1:]
 	for _, p := range batch.proposals {
-		n := len(p.commands)
+		n := p.commandCount
+		c.pendingBytes -= len(p.encoded)
 		switch {
 		case c.pendingLeaderRequests[p.request]:
 			c.answerCommitted(p.request, outcomes[0])
@@ -296,25 +306,68 @@
 }
 
 func (c *Control) snapshotIfDue() {
-	if c.state.Applied < c.lastSnapshotIndex+c.cfg.SnapshotEvery {
+	hasManyEntries := c.state.Applied >= c.lastSnapshotIndex+c.cfg.SnapshotEvery
+	hasManyBytes := c.cfg.SnapshotBytes > 0 && c.bytesSinceSnapshot >= max(c.cfg.SnapshotBytes, c.lastSnapshotBytes)
+	if !hasManyEntries && !hasManyBytes {
 		return
 	}
 	index := c.state.Applied
 	s := tbconsensus.Snapshot{Meta: c.replica.SnapshotMetaAt(index), Data: c.codec.EncodeState(c.state)}
 	c.replica.Compact(s)
-	c.lastSnapshotIndex = index
+	c.lastSnapshotIndex, c.lastSnapshotBytes, c.bytesSinceSnapshot = index, len(s.Data), 0
 	c.emit(SaveSnapshot{Snapshot: s})
 }
 
 // onProposal queues commands to be proposed. If this replica is not the confirmed leader, it refuses
-// them with NotLeader and names the leader, if one is known. If MaxWaiting proposals are queued already,
-// this leader also answers with NotLeader, and names itself as Leader.
+// them with NotLeader and names the leader, if one is known. If this leader is busy, it also answers with
+// NotLeader, and names itself as Leader. Commands that are too large are rejected.
 func (c *Control) onProposal(now time.Time, ev ProposalArrived) {
-	if !c.IsConfirmedLeader(now) || len(c.waitingProposals) >= c.cfg.MaxWaiting {
+	if !c.IsConfirmedLeader(now) || c.isBusy() {
 		c.emit(AnswerProposal{Request: ev.Request, NotLeader: true, Leader: c.leaderHint(now)})
 		return
 	}
-	c.waitingProposals = append(c.waitingProposals, proposal{request: ev.Request, commands: ev.Commands})
+	if !c.enqueue(ev.Request, ev.Commands) {
+		outcomes := make([]tbstate.Outcome, len(ev.Commands))
+		for i := range outcomes {
+			outcomes[i] = tbstate.Outcome{Reason: tbstate.CommandTooLarge, Detail: fmt.Sprintf("the commands have more than %d bytes", c.cfg.MaxCommandBytes)}
+		}
+		c.emit(AnswerProposal{Request: ev.Request, Outcomes: outcomes})
+	}
+}
+
+// isBusy reports whether so many commands wait or are proposed that further requests have to be refused.
+func (c *Control) isBusy() bool {
+	return len(c.waitingProposals) >= c.cfg.MaxWaiting || c.cfg.MaxWaitingBytes > 0 && c.pendingBytes >= c.cfg.MaxWaitingBytes
+}
+
+// enqueue queues the commands of a request to be proposed. It returns false if they are too large. The
+// commands of the leader itself, with request 0, are always queued: what they hold has been bounded where
+// it came in.
+func (c *Control) enqueue(request uint64, commands []tbstate.Command) bool {
+	encoded := c.codec.EncodeCommands(commands)
+	if request != 0 && c.cfg.MaxCommandBytes > 0 && len(encoded) > c.cfg.MaxCommandBytes {
+		c.emit(Log{Message: "command too large", Args: []any{"request", request, "bytes", len(encoded), "maxBytes", c.cfg.MaxCommandBytes}})
+		return false
+	}
+	c.pendingBytes += len(encoded)
+	c.waitingProposals = append(c.waitingProposals, proposal{request: request, commandCount: len(commands), encoded: encoded})
+	return true
+}
+
+// takeBatch takes waiting proposals for one log entry of bounded size. A proposal that exceeds the bounds
+// is taken alone.
+func (c *Control) takeBatch() []proposal {
+	n, commands, size := 0, 0, 0
+	for _, p := range c.waitingProposals {
+		commands, size = commands+p.commandCount, size+len(p.encoded)
+		if n > 0 && (commands > c.cfg.MaxBatchCommands || c.cfg.MaxBatchBytes > 0 && size > c.cfg.MaxBatchBytes) {
+			break
+		}
+		n++
+	}
+	batch := c.waitingProposals[:n:n]
+	c.waitingProposals = c.waitingProposals[n:]
+	return batch
 }
 
 // proposeWaiting proposes waiting commands in log entries of bounded size.
@@ -323,21 +376,18 @@
 // them.
 func (c *Control) proposeWaiting(now time.Time) {
 	for len(c.waitingProposals) > 0 && len(c.inFlightBatches) < c.cfg.MaxInFlight && c.IsConfirmedLeader(now) {
-		batch := tbstate.Batch{NowMs: c.state.TimeAt(now)}
-		takenProposals := 0
-		for _, p := range c.waitingProposals {
-			if takenProposals > 0 && len(batch.Commands)+len(p.commands) > c.cfg.MaxBatchCommands {
-				break
-			}
-			batch.Commands = append(batch.Commands, p.commands...)
-			takenProposals++
+		waiting := c.waitingProposals
+		proposals := c.takeBatch()
+		parts := make([][]byte, len(proposals))
+		for i, p := range proposals {
+			parts[i] = p.encoded
 		}
-		index, ok := c.replica.Propose(now, [][]byte{c.codec.EncodeBatch(batch)})
+		index, ok := c.replica.Propose(now, [][]byte{c.codec.JoinBatch(c.state.TimeAt(now), parts)})
 		if !ok {
+			c.waitingProposals = waiting
 			return
 		}
-		c.inFlightBatches = append(c.inFlightBatches, inFlightBatch{index: index, proposals: c.waitingProposals[:takenProposals:takenProposals]})
-		c.waitingProposals = c.waitingProposals[takenProposals:]
+		c.inFlightBatches = append(c.inFlightBatches, inFlightBatch{index: index, proposals: proposals})
 	}
 }
 
@@ -375,7 +425,7 @@
 			c.emit(AnswerProposal{Request: p.request, NotLeader: true, Leader: c.replica.LeaderID()})
 		}
 	}
-	c.waitingProposals = nil
+	c.waitingProposals, c.pendingBytes = nil, 0
 }
 
 func (c *Control) onMemberChange(now time.Time, ev MemberChangeArrived) {
--- a/core/tbcontrol/flow.go
+++ b/core/tbcontrol/flow.go
@@ -107,17 +107,22 @@
 }
 
 // commitThenAnswer proposes a command and answers the request once the command is applied. It refuses
-// the request with NotReady if MaxWaiting proposals are waiting or the group is not complete.
+// the request with NotReady if this leader is busy or the group is not complete, and with TooLarge if the
+// command is larger than a log entry may be. It returns whether the command was proposed.
 //
 // In an incomplete group, an acknowledged change could be lost with fewer failed disks than the
 // deployment has to tolerate.
-func (c *Control) commitThenAnswer(ev LeaderRequestArrived, command tbflow.Command) {
-	if !c.leader.flow.groupManager.isComplete(c.replica) || len(c.waitingProposals) >= c.cfg.MaxWaiting {
+func (c *Control) commitThenAnswer(ev LeaderRequestArrived, command tbflow.Command) bool {
+	if !c.leader.flow.groupManager.isComplete(c.replica) || c.isBusy() {
 		c.answerLeaderRequest(ev.Request, Answer{Code: NotReady, RetryAfter: time.Second})
-		return
+		return false
+	}
+	if !c.enqueue(ev.Request, []tbstate.Command{tbstate.FlowChange{Command: command}}) {
+		c.answerLeaderRequest(ev.Request, Answer{Code: TooLarge})
+		return false
 	}
 	c.pendingLeaderRequests[ev.Request] = true
-	c.waitingProposals = append(c.waitingProposals, proposal{request: ev.Request, commands: []tbstate.Command{tbstate.FlowChange{Command: command}}})
+	return true
 }
 
 // onSubmit admits a job and proposes its submission. The submission of a job whose id is known succeeds
@@ -142,6 +147,13 @@
 		return
 	}
 	l := c.leader.flow
+	if c.cfg.MaxJobBytes > 0 && !l.pendingSubmits[q.Submit.Job.ID] && flow.JobBytesAt(flow.TimeAt(now))+q.Submit.StoredBytes() > c.cfg.MaxJobBytes {
+		c.emit(Log{Message: "job turned away", Detail: "the stored jobs have no room for it", Args: []any{
+			"job", q.Submit.Job.ID, "jobBytes", q.Submit.StoredBytes(), "storedBytes", flow.JobBytesAt(flow.TimeAt(now)), "maxBytes", c.cfg.MaxJobBytes,
+		}})
+		c.answerLeaderRequest(request, Answer{Code: Overloaded, RetryAfter: flow.NextJobExpiry(flow.TimeAt(now))})
+		return
+	}
 	if isAdmitted, retryAfter := tbassign.Admit(now, flow, l.fleet, l.learner, queue, &q.Submit.Job); !isAdmitted && !l.pendingSubmits[q.Submit.Job.ID] {
 		c.emit(Log{Message: "job turned away", Args: []any{
 			"job", q.Submit.Job.ID, "queue", queue.Key.Host + queue.Key.Prefix, "retryAfterMs", retryAfter.Milliseconds(), "version", flow.Config.Version,
@@ -149,8 +161,9 @@
 		c.answerLeaderRequest(request, Answer{Code: Overloaded, RetryAfter: retryAfter})
 		return
 	}
-	l.pendingSubmits[q.Submit.Job.ID] = true
-	c.commitThenAnswer(LeaderRequestArrived{Request: request}, q.Submit)
+	if c.commitThenAnswer(LeaderRequestArrived{Request: request}, q.Submit) {
+		l.pendingSubmits[q.Submit.Job.ID] = true
+	}
 }
 
 func (c *Control) buildJobAnswer(q JobStateRequested) Answer {
@@ -320,7 +333,7 @@
 }
 
 func (c *Control) proposeFlowChange(command tbflow.Command) {
-	c.waitingProposals = append(c.waitingProposals, proposal{commands: []tbstate.Command{tbstate.FlowChange{Command: command}}})
+	c.enqueue(0, []tbstate.Command{tbstate.FlowChange{Command: command}})
 }
 
 // processFleetOutput turns the fleet's output into effects and proposals.
--- a/core/tbcontrol/group_test.go
+++ b/core/tbcontrol/group_test.go
@@ -64,6 +64,10 @@
 const (
 	groupSize  = 5
 	maxApplied = 16
+	// maxMessageBytes is the size from which the network drops messages.
+	maxMessageBytes = 4 << 20
+	maxJobBytes     = 6 << 20
+	snapshotBytes   = 2 << 20
 )
 
 // newGroup returns a group of three initial replicas, two fewer than the configured size.
@@ -93,6 +97,8 @@
 			MaxBatchBytes: 1 << 20, ChunkBytes: 1 << 16, Seed: uint64(id), Join: d.joinsGroup,
 		},
 		SnapshotEvery: 1000, MaxInFlight: 2, MaxBatchCommands: 100, MaxWaiting: 100, MaxApplied: maxApplied,
+		MaxBatchBytes: maxMessageBytes / 8, MaxCommandBytes: maxMessageBytes * 5 / 8, MaxWaitingBytes: 8 * maxMessageBytes,
+		MaxJobBytes: maxJobBytes, SnapshotBytes: snapshotBytes,
 		Placement: tbplacement.DefaultConfig(), GroupSize: groupSize,
 		Fleet: tbfleet.Params{
 			Lease: 4 * time.Second, MaxLease: 6 * time.Second, MaxOrderDelay: 12 * time.Second, ClockRateBound: 0.02,
@@ -112,14 +118,21 @@
 }
 
 // step handles one event at a replica and carries out the effects.
-func (g *simulatedGroup) step(r *replica, ev tbcontrol.Event) {
+func (g *simulatedGroup) step(r *replica, ev tbcontrol.Event) { g.stepAll(r, []tbcontrol.Event{ev}) }
+
+// stepAll handles events that arrive at the same moment.
+func (g *simulatedGroup) stepAll(r *replica, events []tbcontrol.Event) {
 	appliedBefore := r.control.State().Applied
 	defer func() {
 		if applyTime := time.Duration(r.control.State().Applied-appliedBefore) * g.applyCost; applyTime > 0 {
 			r.busyUntil = latest(r.busyUntil, g.now).Add(applyTime)
 		}
 	}()
-	for _, e := range append(r.control.Step(g.timeAt(r), ev), r.control.Step(g.timeAt(r), tbcontrol.EventBatchEnded{})...) {
+	var effects []tbcontrol.Effect
+	for _, ev := range append(events, tbcontrol.EventBatchEnded{}) {
+		effects = append(effects, r.control.Step(g.timeAt(r), ev)...)
+	}
+	for _, e := range effects {
 		switch e := e.(type) {
 		case tbcontrol.SendMessages:
 			g.send(r, e.Messages)
@@ -130,6 +143,8 @@
 				last := e.Entries[n-1]
 				g.step(r, tbcontrol.EntriesPersisted{Term: last.Term, Index: last.Index})
 			}
+		case tbcontrol.SaveSnapshot:
+			r.compact(e.Snapshot)
 		case tbcontrol.AnswerLeaderRequest:
 			r.answerByRequest[e.Request] = e
 		case tbcontrol.SendOrder:
@@ -164,9 +179,25 @@
 	}
 }
 
+// compact replaces the log entries that a snapshot covers by the snapshot.
+func (r *replica) compact(s tbconsensus.Snapshot) {
+	d := &r.disk.persisted
+	n := 0
+	for n < len(d.Entries) && d.Entries[n].Index <= s.Meta.Index {
+		n++
+	}
+	d.Snapshot, d.Entries = s, d.Entries[n:]
+}
+
 func (g *simulatedGroup) send(r *replica, messages []tbconsensus.Message) {
-	if !r.isolated {
-		g.undeliveredMessages = append(g.undeliveredMessages, messages...)
+	for _, m := range messages {
+		size := len(m.Chunk)
+		for _, e := range m.Entries {
+			size += len(e.Data)
+		}
+		if !r.isolated && size <= maxMessageBytes {
+			g.undeliveredMessages = append(g.undeliveredMessages, m)
+		}
 	}
 }
 
--- a/core/tbcontrol/leader_request.go
+++ b/core/tbcontrol/leader_request.go
@@ -95,12 +95,14 @@
 	Removed
 	// Invalid means that the job cannot be stored or executed, see tbflow.Job.Validate.
 	Invalid
+	// TooLarge means that the change has more bytes than a log entry may have. It was not proposed.
+	TooLarge
 )
 
 // String returns the outcome in lower camel case.
 func (c AnswerCode) String() string {
 	names := [...]string{
-		"done", "noConfig", "noQueue", "noJob", "overloaded", "notReady", "outdated", "unsure", "removed", "invalid",
+		"done", "noConfig", "noQueue", "noJob", "overloaded", "notReady", "outdated", "unsure", "removed", "invalid", "tooLarge",
 	}
 	if int(c) >= len(names) {
 		// A leader of a later version may send codes that this version does not know.
--- a/core/tbcontrol/leadership.go
+++ b/core/tbcontrol/leadership.go
@@ -103,7 +103,7 @@
 // enqueueCommands queues the commands of the leader itself. No request waits for their outcomes.
 func (c *Control) enqueueCommands(commands []tbstate.Command) {
 	if len(commands) > 0 {
-		c.waitingProposals = append(c.waitingProposals, proposal{commands: commands})
+		c.enqueue(0, commands)
 	}
 }
 
--- a/core/tbcontrol/types.go
+++ b/core/tbcontrol/types.go
@@ -15,7 +15,10 @@
 
 // Codec encodes and decodes batches and states.
 type Codec interface {
-	EncodeBatch(tbstate.Batch) []byte
+	// EncodeCommands encodes commands as a part of a batch.
+	EncodeCommands([]tbstate.Command) []byte
+	// JoinBatch joins encoded commands to a batch at a time in milliseconds since 1970.
+	JoinBatch(nowMs int64, parts [][]byte) []byte
 	DecodeBatch([]byte) (tbstate.Batch, error)
 	EncodeState(*tbstate.State) []byte
 	DecodeState([]byte) (*tbstate.State, error)
@@ -39,12 +42,28 @@
 	PlacementInterval time.Duration
 	// SnapshotEvery is the number of applied entries between two snapshots.
 	SnapshotEvery uint64
+	// SnapshotBytes is the size of the applied entries, in bytes, after which a snapshot is also taken, unless
+	// the last snapshot was larger. Then as many bytes as that snapshot had are applied first, so that large
+	// states are not written too often. 0 means no such limit.
+	SnapshotBytes int
 	// MaxInFlight bounds the batches that are proposed and not yet applied.
 	MaxInFlight int
 	// MaxBatchCommands bounds the commands of one log entry, unless a single proposal has more.
 	MaxBatchCommands int
+	// MaxBatchBytes bounds the encoded commands of one log entry, in bytes, unless a single proposal is
+	// larger. 0 means no bound.
+	MaxBatchBytes int
+	// MaxCommandBytes bounds the encoded commands of one request, in bytes, and thereby every log entry.
+	// Larger requests are refused. 0 means no bound.
+	MaxCommandBytes int
 	// MaxWaiting is the number of waiting proposals at which further requests are refused.
 	MaxWaiting int
+	// MaxWaitingBytes is the size of the waiting and the proposed commands, in bytes, at which further
+	// requests are refused. 0 means no bound.
+	MaxWaitingBytes int
+	// MaxJobBytes bounds the size of all stored multi-step jobs, in bytes (see tbflow.State.JobBytesAt), and
+	// thereby that of snapshots. Further jobs are refused. 0 means no bound.
+	MaxJobBytes int
 	// MaxApplied bounds the committed entries applied between two EventBatchEnded; 0 means no bound.
 	MaxApplied int
 	Share      tbshare.Policy
--- a/core/tbentry/proposals.go
+++ b/core/tbentry/proposals.go
@@ -40,7 +40,9 @@
 const (
 	maxProposalsInFlight = 8
 	maxCommandsInBatch   = 256
-	proposalBackoff      = 20 * time.Millisecond
+	// maxPayloadInBatch is the size in bytes of the payloads of a batch.
+	maxPayloadInBatch = 1 << 20
+	proposalBackoff   = 20 * time.Millisecond
 )
 
 // proposer holds the items to send to the leader. An item stays until the leader answers or the
@@ -83,24 +85,34 @@
 	}
 }
 
-// takeBatch splits off the items that may be sent now, up to maxCommandsInBatch commands.
+// takeBatch splits off the items that may be sent now, up to maxCommandsInBatch commands and
+// maxPayloadInBatch bytes.
 //
-// An item with more commands than that is sent alone. If an item does not fit, it stays, but smaller
+// An item with more than that is sent alone. If an item does not fit, it stays, but smaller
 // items after it may be taken.
 func takeBatch(waiting []proposalItem, now time.Time) (batch, rest []proposalItem) {
-	commands := 0
+	commands, payload := 0, 0
 	for _, item := range waiting {
-		full := commands > 0 && commands+len(item.commands) > maxCommandsInBatch
+		itemPayload := item.payloadBytes()
+		full := commands > 0 && (commands+len(item.commands) > maxCommandsInBatch || payload+itemPayload > maxPayloadInBatch)
 		if full || now.Before(item.notBefore) {
 			rest = append(rest, item)
 			continue
 		}
-		commands += len(item.commands)
+		commands, payload = commands+len(item.commands), payload+itemPayload
 		batch = append(batch, item)
 	}
 	return batch, rest
 }
 
+func (i proposalItem) payloadBytes() int {
+	size := 0
+	for _, c := range i.commands {
+		size += tbstate.PayloadBytes(c)
+	}
+	return size
+}
+
 func (e *Entry) expireItems(now time.Time) {
 	remaining := e.proposer.waiting[:0]
 	var expired []proposalItem
--- a/core/tbflow/state.go
+++ b/core/tbflow/state.go
@@ -66,6 +66,8 @@
 	runChanges map[string]uint64
 	// endedJobs holds the ended jobs that are still kept, in the order in which they ended.
 	endedJobs []*Job
+	// jobBytes is the sum of the sizes of all jobs, see Job.storedBytes.
+	jobBytes int
 	// anchor is set by AnchorTime.
 	anchor timeAnchor
 }
@@ -93,6 +95,7 @@
 			s.endedJobs = append(s.endedJobs, j)
 		}
 		j.countTasks()
+		s.jobBytes += j.storedBytes()
 		j.EachTask(func(ref TaskRef, t *Task) {
 			if t.Phase == TaskAssigned {
 				s.addRun(j, ref, t)
@@ -245,6 +248,7 @@
 	}
 	j.countTasks()
 	s.Jobs[j.ID] = &j
+	s.jobBytes += j.storedBytes()
 	s.activeJobs = append(s.activeJobs, &j)
 	return OK
 }
@@ -292,6 +296,7 @@
 			continue
 		}
 		s.removeCrashes(j)
+		s.jobBytes -= j.storedBytes()
 		delete(s.Jobs, j.ID)
 	}
 	s.endedJobs = append(kept, s.endedJobs[n:]...)
--- a/core/tbstate/claims.go
+++ b/core/tbstate/claims.go
@@ -51,7 +51,7 @@
 	if !ok {
 		return Outcome{Reason: ServiceUnknown}
 	}
-	if s.claimCounts[c.Key.Service] >= service.ClaimLimit {
+	if s.claimCounts[c.Key.Service] >= service.ClaimLimit || s.answerBytes >= MaxAnswerBytes {
 		return Outcome{Reason: ClaimTableFull}
 	}
 	s.Claims[c.Key] = &Claim{
@@ -98,6 +98,7 @@
 func (s *State) endClaim(claim *Claim, status ClaimStatus, answer []byte, reason string) {
 	claim.Status = status
 	claim.Answer = answer
+	s.answerBytes += len(answer)
 	claim.Reason = reason
 	claim.ExpiresMs = s.NowMs + claim.RetentionMs
 	heap.Push(&s.claimExpiries, claim)
@@ -106,6 +107,7 @@
 func (s *State) dropClaim(claim *Claim) {
 	delete(s.Claims, claim.Key)
 	s.claimCounts[claim.Key.Service]--
+	s.answerBytes -= len(claim.Answer)
 }
 
 func (s *State) expireClaims() {
--- a/core/tbstate/jobs.go
+++ b/core/tbstate/jobs.go
@@ -38,8 +38,9 @@
 			Detail: fmt.Sprintf("one job of kind %q exceeds the whole quota of team %q", kind.Name, team.Name),
 		}
 	}
-	if s.queued.count >= MaxQueuedJobs {
-		return Outcome{Reason: TooManyJobs}
+	if s.queued.count >= MaxQueuedJobs || s.payloadBytes+len(j.Payload) > MaxPayloadBytes {
+		return Outcome{Reason: TooManyJobs, Detail: fmt.Sprintf("%d jobs are queued, at most %d may be; jobs have %d bytes of payload, at most %d are allowed",
+			s.queued.count, MaxQueuedJobs, s.payloadBytes+len(j.Payload), MaxPayloadBytes)}
 	}
 	added := Job{
 		ID: j.ID, Kind: j.Kind, Team: j.Team, Payload: j.Payload, Urgent: j.Urgent,
@@ -47,6 +48,7 @@
 		SubmittedMs: s.NowMs, Seq: s.NextSeq, Changed: s.Applied,
 	}
 	s.NextSeq++
+	s.payloadBytes += len(j.Payload)
 	s.Jobs[added.ID] = &added
 	s.queued.add(&added)
 	return Outcome{}
@@ -81,6 +83,7 @@
 	j.Phase = phase
 	j.Reason = reason
 	j.EndedMs = s.NowMs
+	s.payloadBytes -= len(j.Payload)
 	j.Payload = nil
 	j.Changed = s.Applied
 	s.endedJobs = append(s.endedJobs, j)
--- a/core/tbstate/restore.go
+++ b/core/tbstate/restore.go
@@ -20,6 +20,7 @@
 	slices.SortStableFunc(s.endedJobs, func(a, b *Job) int { return int(a.EndedMs - b.EndedMs) })
 	for _, c := range s.Claims {
 		s.claimCounts[c.Key.Service]++
+		s.answerBytes += len(c.Answer)
 		if c.Status != ClaimHeld {
 			s.claimExpiries = append(s.claimExpiries, c)
 		}
@@ -28,6 +29,7 @@
 }
 
 func (s *State) indexJob(j *Job) {
+	s.payloadBytes += len(j.Payload)
 	switch {
 	case j.Phase == JobQueued:
 		s.queued.add(j)
--- a/core/tbstate/state.go
+++ b/core/tbstate/state.go
@@ -36,9 +36,12 @@
 	reservedByWorker map[string]tbresource.Amount
 	teamUse          map[string]tbresource.Amount
 	claimCounts      map[string]int
-	claimExpiries    expiryHeap
-	endedJobs        []*Job
-	changeLog        changeLog
+	// answerBytes is the size of the answers in Claims, and payloadBytes that of the payloads in Jobs.
+	answerBytes   int
+	payloadBytes  int
+	claimExpiries expiryHeap
+	endedJobs     []*Job
+	changeLog     changeLog
 }
 
 // New returns an empty state.
@@ -68,6 +71,9 @@
 	}
 	s.Applied = index
 	s.NowMs = max(s.NowMs, b.NowMs)
+	// What has expired must not be in the way of the first command after a time without any.
+	s.expireClaims()
+	s.expireJobs()
 	outcomes := make([]Outcome, len(b.Commands))
 	for i, c := range b.Commands {
 		outcomes[i] = s.apply(c)
--- a/core/tbstate/types.go
+++ b/core/tbstate/types.go
@@ -50,7 +50,9 @@
 	NoSuchClaim    Reason = "claimUnknown"
 	ServiceUnknown Reason = "serviceUnknown"
 	TooManyJobs    Reason = "tooManyJobs"
-	NoActiveBundle Reason = "noBundleInForce"
+	// CommandTooLarge means that the commands have more bytes than a log entry may have.
+	CommandTooLarge Reason = "commandTooLarge"
+	NoActiveBundle  Reason = "noBundleInForce"
 	// NeverSchedulable means that one job of the kind exceeds the whole quota of the team.
 	NeverSchedulable              Reason = "neverSchedulable"
 	EvictedForUrgentJob           Reason = "evictedForUrgentWork"
@@ -295,6 +297,11 @@
 const (
 	// MaxQueuedJobs is the number of queued jobs from which further submissions are refused.
 	MaxQueuedJobs = 200_000
+	// MaxPayloadBytes is the size of the payloads of all jobs that have not ended, in bytes. Further
+	// submissions are refused. A full view of an entry has the payloads of all placed jobs.
+	MaxPayloadBytes = 8 << 20
+	// MaxAnswerBytes is the size of the kept answers, in bytes, from which further claims are refused.
+	MaxAnswerBytes = 16 << 20
 	// EndedJobRetention is how long the record of an ended job is kept.
 	EndedJobRetention = 24 * time.Hour
 	// MaxStoredAnswerBytes is the size of the largest answer that a claim stores.
--- a/io/tbcodec/command.go
+++ b/io/tbcodec/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -26,6 +27,17 @@
 	return marshal(&pb.CommandBatch{NowMs: b.NowMs, Commands: CommandsToWire(b.Commands)})
 }
 
+// EncodeCommands encodes commands as a part of a batch, see JoinBatch.
+func (c *Codec) EncodeCommands(commands []tbstate.Command) []byte {
+	return marshal(&pb.CommandBatch{Commands: CommandsToWire(commands)})
+}
+
+// JoinBatch joins encoded commands to the data of a log entry. Encoded protobuf messages are joined by
+// appending one to the other.
+func (c *Codec) JoinBatch(nowMs int64, parts [][]byte) []byte {
+	return append(marshal(&pb.CommandBatch{NowMs: nowMs}), slices.Concat(parts...)...)
+}
+
 // DecodeBatch decodes the data of a log entry.
 func (c *Codec) DecodeBatch(data []byte) (tbstate.Batch, error) {
 	var m pb.CommandBatch
--- a/io/tbdaemon/api.go
+++ b/io/tbdaemon/api.go
@@ -110,8 +110,14 @@
 	return connect.NewResponse(&pb.CancelResponse{Results: results}), nil
 }
 
+// maxStatusIDs is the largest number of jobs of one status request, which bounds the size of the answer.
+const maxStatusIDs = 10_000
+
 // Status returns the status of jobs.
 func (h *jobHandler) Status(ctx context.Context, r *connect.Request[pb.JobStatusRequest]) (*connect.Response[pb.JobStatusResponse], error) {
+	if n := len(r.Msg.GetIds()); n > maxStatusIDs {
+		return nil, connect.NewError(connect.CodeInvalidArgument, fmt.Errorf("%d job ids given, at most %d are allowed", n, maxStatusIDs))
+	}
 	answer, err := h.d.queryLeader(ctx, &pb.QueryRequest{Jobs: r.Msg.GetIds()})
 	if err != nil {
 		return nil, err
--- a/io/tbdaemon/ask.go
+++ b/io/tbdaemon/ask.go
@@ -188,7 +188,10 @@
 	}
 	m, err := d.peers.Ask(ctx, address, askTryTimeout, &pb.AskRequest{Question: *encoded})
 	var notSent *tbpeer.NotSentError
+	var tooLarge *tbpeer.TooLargeError
 	switch {
+	case errors.As(err, &tooLarge):
+		return tbcontrol.Answer{Code: tbcontrol.TooLarge}, askAnswered
 	case errors.As(err, &notSent):
 		d.directory.clearLeader(address)
 		return tbcontrol.Answer{}, askNotAccepted
--- a/io/tbdaemon/config.go
+++ b/io/tbdaemon/config.go
@@ -13,11 +13,16 @@
 	"tamarackbarrow/core/tbqueue"
 	"tamarackbarrow/core/tbrouting"
 	"tamarackbarrow/core/tbshare"
+	"tamarackbarrow/io/tbpeer"
 	"tamarackbarrow/io/tbsettings"
 )
 
 type bundle = tbbundle.Bundle
 
+// MaxCommandBytes is the size of the largest change, encoded, in bytes. It leaves room in a message of
+// tbpeer.MaxMessageBytes for others that it is sent with.
+const MaxCommandBytes = tbpeer.MaxMessageBytes * 5 / 8
+
 // Limits and intervals that are not configurable. Most are explained at the fields that they are
 // assigned to, in tbcontrol.Config, tbconsensus.Config and tbfleet.Params.
 const (
@@ -31,7 +36,11 @@
 	removeRunnerAfter   = 2 * tbbundle.MaxRunDeadline
 	maxBatchesInFlight  = 2
 	maxBatchCommands    = 512
+	maxBatchBytes       = 512 << 10
 	maxWaitingProposals = 20_000
+	maxWaitingBytes     = 4 * MaxCommandBytes
+	maxJobBytes         = 32 << 20
+	snapshotLogBytes    = 16 << 20
 	maxEntriesApplied   = 64
 	workerRetryInterval = 250 * time.Millisecond
 )
@@ -75,7 +84,9 @@
 		BackendSilence: s.Times.BackendSilence, DeliveryMargin: s.Times.DeliveryMargin,
 		RemoveAfter: removeRunnerAfter, GrantInterval: grantInterval, PlacementInterval: placementInterval,
 		SnapshotEvery: uint64(s.Policies.SnapshotEvery), MaxInFlight: maxBatchesInFlight,
-		MaxBatchCommands: maxBatchCommands, MaxWaiting: maxWaitingProposals, MaxApplied: maxEntriesApplied,
+		MaxBatchCommands: maxBatchCommands, MaxBatchBytes: maxBatchBytes, MaxCommandBytes: MaxCommandBytes,
+		MaxWaiting: maxWaitingProposals, MaxWaitingBytes: maxWaitingBytes, MaxJobBytes: maxJobBytes,
+		SnapshotBytes: snapshotLogBytes, MaxApplied: maxEntriesApplied,
 		// BaseWeight is in slots. Tolerance is a fraction of the share.
 		Share:     tbshare.Policy{BaseWeight: 2, Tolerance: 0.1},
 		Placement: placement,
--- a/io/tbpeer/client.go
+++ b/io/tbpeer/client.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcconn"
 
 	pb "tamarackbarrow/io/tbproto/v1"
@@ -51,6 +53,14 @@
 // Unwrap returns the cause.
 func (e *NotSentError) Unwrap() error { return e.Err }
 
+// TooLargeError means that a request was not sent because it exceeds MaxMessageBytes.
+type TooLargeError struct{ Bytes int }
+
+// Error returns the size and the limit.
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("request of %d bytes not sent, at most %d are allowed", e.Bytes, MaxMessageBytes)
+}
+
 // Close closes all idle connections.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -69,7 +79,7 @@
 	if err != nil {
 		return nil, &NotSentError{Err: err}
 	}
-	return drpcconn.New(countedConn{Conn: raw, traffic: c.traffic}), nil
+	return drpcconn.NewWithOptions(countedConn{Conn: raw, traffic: c.traffic}, drpcconn.Options{Manager: managerOptions}), nil
 }
 
 func (c *Client) acquireIdle(address string) *drpcconn.Conn {
@@ -118,10 +128,14 @@
 	delete(c.idle, address)
 }
 
-// roundTrip sends one request and waits for its answer. The timeout includes the time to connect.
-func roundTrip[A any](c *Client, ctx context.Context, address string, timeout time.Duration,
+// roundTrip sends the request m and waits for its answer. The timeout includes the time to connect.
+func roundTrip[A any](c *Client, ctx context.Context, address string, timeout time.Duration, m proto.Message,
 	send func(ctx context.Context, peer pb.DRPCPeerServiceClient) (A, error),
 ) (A, error) {
+	if size := proto.Size(m); size > MaxMessageBytes {
+		var zero A
+		return zero, &TooLargeError{Bytes: size}
+	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	conn, err := c.acquire(ctx, address)
@@ -136,7 +150,7 @@
 
 // Deliver sends consensus messages.
 func (c *Client) Deliver(ctx context.Context, address string, timeout time.Duration, m *pb.DeliverRequest) error {
-	_, err := roundTrip(c, ctx, address, timeout, func(ctx context.Context, peer pb.DRPCPeerServiceClient) (*pb.DeliverResponse, error) {
+	_, err := roundTrip(c, ctx, address, timeout, m, func(ctx context.Context, peer pb.DRPCPeerServiceClient) (*pb.DeliverResponse, error) {
 		return peer.Deliver(ctx, m)
 	})
 	return err
@@ -144,21 +158,21 @@
 
 // Propose sends commands to a control replica.
 func (c *Client) Propose(ctx context.Context, address string, timeout time.Duration, m *pb.ProposeRequest) (*pb.ProposeResponse, error) {
-	return roundTrip(c, ctx, address, timeout, func(ctx context.Context, peer pb.DRPCPeerServiceClient) (*pb.ProposeResponse, error) {
+	return roundTrip(c, ctx, address, timeout, m, func(ctx context.Context, peer pb.DRPCPeerServiceClient) (*pb.ProposeResponse, error) {
 		return peer.Propose(ctx, m)
 	})
 }
 
 // Sync sends an entry's report to a control replica.
 func (c *Client) Sync(ctx context.Context, address string, timeout time.Duration, m *pb.SyncRequest) (*pb.SyncResponse, error) {
-	return roundTrip(c, ctx, address, timeout, func(ctx context.Context, peer pb.DRPCPeerServiceClient) (*pb.SyncResponse, error) {
+	return roundTrip(c, ctx, address, timeout, m, func(ctx context.Context, peer pb.DRPCPeerServiceClient) (*pb.SyncResponse, error) {
 		return peer.Sync(ctx, m)
 	})
 }
 
 // Handover hands a call over to a peer.
 func (c *Client) Handover(ctx context.Context, address string, timeout time.Duration, m *pb.HandoverRequest) (*pb.CallResponse, error) {
-	return roundTrip(c, ctx, address, timeout, func(ctx context.Context, peer pb.DRPCPeerServiceClient) (*pb.CallResponse, error) {
+	return roundTrip(c, ctx, address, timeout, m, func(ctx context.Context, peer pb.DRPCPeerServiceClient) (*pb.CallResponse, error) {
 		return peer.Handover(ctx, m)
 	})
 }
@@ -166,21 +180,21 @@
 // Ask sends a control replica a request that only the leader processes. Any other replica answers with
 // NotLeader.
 func (c *Client) Ask(ctx context.Context, address string, timeout time.Duration, m *pb.AskRequest) (*pb.AskResponse, error) {
-	return roundTrip(c, ctx, address, timeout, func(ctx context.Context, peer pb.DRPCPeerServiceClient) (*pb.AskResponse, error) {
+	return roundTrip(c, ctx, address, timeout, m, func(ctx context.Context, peer pb.DRPCPeerServiceClient) (*pb.AskResponse, error) {
 		return peer.Ask(ctx, m)
 	})
 }
 
 // Relay passes orders of the leader to a replica, which sends them to workers.
 func (c *Client) Relay(ctx context.Context, address string, timeout time.Duration, m *pb.RelayRequest) (*pb.RelayResponse, error) {
-	return roundTrip(c, ctx, address, timeout, func(ctx context.Context, peer pb.DRPCPeerServiceClient) (*pb.RelayResponse, error) {
+	return roundTrip(c, ctx, address, timeout, m, func(ctx context.Context, peer pb.DRPCPeerServiceClient) (*pb.RelayResponse, error) {
 		return peer.Relay(ctx, m)
 	})
 }
 
 // ReturnResults returns the results of relayed orders to the leader.
 func (c *Client) ReturnResults(ctx context.Context, address string, timeout time.Duration, m *pb.ReturnResultsRequest) error {
-	_, err := roundTrip(c, ctx, address, timeout, func(ctx context.Context, peer pb.DRPCPeerServiceClient) (*pb.ReturnResultsResponse, error) {
+	_, err := roundTrip(c, ctx, address, timeout, m, func(ctx context.Context, peer pb.DRPCPeerServiceClient) (*pb.ReturnResultsResponse, error) {
 		return peer.ReturnResults(ctx, m)
 	})
 	return err
@@ -190,7 +204,7 @@
 // status or for a change of the control group. A replica that is not the leader answers with
 // NotLeader.
 func (c *Client) Query(ctx context.Context, address string, timeout time.Duration, m *pb.QueryRequest) (*pb.QueryResponse, error) {
-	return roundTrip(c, ctx, address, timeout, func(ctx context.Context, peer pb.DRPCPeerServiceClient) (*pb.QueryResponse, error) {
+	return roundTrip(c, ctx, address, timeout, m, func(ctx context.Context, peer pb.DRPCPeerServiceClient) (*pb.QueryResponse, error) {
 		return peer.Query(ctx, m)
 	})
 }
--- a/io/tbpeer/server.go
+++ b/io/tbpeer/server.go
@@ -8,6 +8,7 @@
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
 
 	pb "tamarackbarrow/io/tbproto/v1"
 )
@@ -15,13 +16,21 @@
 // inactivityTimeout is the time without a request after which a server closes a connection.
 const inactivityTimeout = 10 * time.Second
 
+// MaxMessageBytes is the size in bytes of the largest encoded message between peers. A peer closes the
+// connection on which a larger one arrives, so a client refuses to send it.
+const MaxMessageBytes = 16 << 20
+
+var managerOptions = drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: MaxMessageBytes}}
+
 // Serve answers requests of peers on a listener until ctx is done.
 func Serve(ctx context.Context, l net.Listener, handler pb.DRPCPeerServiceServer) error {
 	mux := drpcmux.New()
 	if err := pb.DRPCRegisterPeerService(mux, handler); err != nil {
 		return err
 	}
-	options := drpcserver.Options{Manager: drpcmanager.Options{InactivityTimeout: inactivityTimeout}}
+	manager := managerOptions
+	manager.InactivityTimeout = inactivityTimeout
+	options := drpcserver.Options{Manager: manager}
 	return drpcserver.NewWithOptions(mux, options).Serve(ctx, l)
 }
 
--- a/io/tbrunnerclient/client.go
+++ b/io/tbrunnerclient/client.go
@@ -24,6 +24,9 @@
 	dialTimeout   = 500 * time.Millisecond
 )
 
+// maxAnswerBytes is the size in bytes of the largest answer of a runner. Larger answers are errors.
+const maxAnswerBytes = 4 << 20
+
 // NewHTTPClient returns a client for unencrypted HTTP/2 that pings idle connections and closes
 // those that do not respond.
 func NewHTTPClient() *http.Client {
@@ -56,15 +59,15 @@
 		WroteHeaderField: func(string, []string) { sendStarted.Store(true) },
 		WroteHeaders:     func() { sendStarted.Store(true) },
 	})
-	client := tbprotov1connect.NewRunnerServiceClient(c.httpClient, "http://"+attempt.Address)
+	client := tbprotov1connect.NewRunnerServiceClient(c.httpClient, "http://"+attempt.Address, connect.WithReadMaxBytes(maxAnswerBytes))
 	resp, err := client.Run(ctx, connect.NewRequest(&pb.RunRequest{
 		RequestId: requestID, Service: attempt.Call.Service, Method: attempt.Call.Method, Payload: attempt.Call.Payload,
 		DeadlineMs: uint32(attempt.Timeout.Milliseconds()), Incarnation: attempt.Incarnation,
 	}))
 	ended := tbentry.AttemptEnded{Attempt: attempt.Attempt}
 	switch {
-	case err != nil && connect.IsWireError(err):
-		// The runner answered with this error.
+	case err != nil && (connect.IsWireError(err) || connect.CodeOf(err) == connect.CodeResourceExhausted):
+		// The runner answered with this error, or with more than maxAnswerBytes.
 		ended.Result, ended.Detail = tbentry.AttemptError, err.Error()
 	case err != nil && !sendStarted.Load():
 		ended.Result, ended.Detail = tbentry.AttemptNotSent, err.Error()
@@ -105,7 +108,7 @@
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	settled := tbentry.AttemptSettled{Attempt: lost.Attempt}
-	client := tbprotov1connect.NewRunnerServiceClient(c.httpClient, "http://"+lost.Address)
+	client := tbprotov1connect.NewRunnerServiceClient(c.httpClient, "http://"+lost.Address, connect.WithReadMaxBytes(maxAnswerBytes))
 	resp, err := client.Settle(ctx, connect.NewRequest(&pb.SettleRequest{RequestId: requestID, Incarnation: lost.Incarnation}))
 	if err != nil {
 		return settled
--- a/io/tbstore/store.go
+++ b/io/tbstore/store.go
@@ -16,10 +16,12 @@
 
 // File names, sizes and intervals of the store.
 const (
-	segmentPrefix         = "log-"
-	snapshotPrefix        = "snapshot-"
-	tempSnapshotName      = "unfinished"
-	maxSegmentBytes       = 32 << 20
+	segmentPrefix    = "log-"
+	snapshotPrefix   = "snapshot-"
+	tempSnapshotName = "unfinished"
+	maxSegmentBytes  = 32 << 20
+	// maxGroupBytes is the size of the entries from which no more change sets share a record.
+	maxGroupBytes         = 8 << 20
 	diskFullRetryInterval = 200 * time.Millisecond
 	numberedNameFormat    = "%s%020d"
 )
@@ -82,12 +84,19 @@
 // Syncs returns how many records have been written and synced since Open was called.
 func (s *Store) Syncs() uint64 { return s.syncs }
 
-// Append makes change sets durable, with one sync if none of them installs a snapshot and no new
-// segment is started. On a full disk it waits for space to write a log record, but returns an error
+// Append makes change sets durable, with one sync if they are not large, none of them installs a snapshot
+// and no new segment is started. On a full disk it waits for space to write a log record, but returns an error
 // if it cannot store a snapshot or create a segment.
 func (s *Store) Append(changeSets []ChangeSet) error {
 	var pending []ChangeSet
+	pendingBytes := 0
 	for _, c := range changeSets {
+		if pendingBytes >= maxGroupBytes {
+			if err := s.appendRecord(pending); err != nil {
+				return err
+			}
+			pending, pendingBytes = nil, 0
+		}
 		if c.Install != nil {
 			// The snapshot replaces the entries of earlier change sets, but not their hard states.
 			pending = hardStatesOnly(pending)
@@ -96,6 +105,9 @@
 			}
 		}
 		pending = append(pending, c)
+		for _, e := range c.Entries {
+			pendingBytes += len(e.Data)
+		}
 	}
 	return s.appendRecord(pending)
 }
