Check reports and rows of lists so that odd entries affect nothing else

Operators of other systems report machines that end or stop following a list because of one odd entry. Here a report with the largest sequence number shut out its worker, a listed end with the number 2^64-1 ended the recording of all further ends of its worker, and a row that cannot be read kept starts without an answer unsettled and workers without new tasks.

Reports are checked whole, on followers and on the leader, and announcements of the own interface too. Rows of poll answers stand alone: one that names no task affects nothing, one that names a task leaves open that task only.

--- a/core/tbassign/considered_workers.go
+++ b/core/tbassign/considered_workers.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"time"
 
 	"tamarackbarrow/core/tbfleet"
 )
@@ -96,6 +97,10 @@
 	return named
 }
 
+// unknownStrayTimeout is how long a stray of an unknown task may occupy capacity. The worker has then been
+// told to stop it many times, so that the entry names no run.
+const unknownStrayTimeout = 10 * time.Second
+
 // addWorker adds a worker and returns true, if the worker is registered and usable. A worker that does not
 // refuse tasks that exceed its capacity also has to have reported its capacity lately.
 func (p *planState) addWorker(f *tbfleet.Fleet, w *tbfleet.Worker) bool {
@@ -103,13 +108,15 @@
 		return false
 	}
 	use := p.state.Usage(w.ID)
-	for _, ref := range w.Strays {
-		step := p.state.StepOf(ref)
-		if step == nil {
+	for _, stray := range w.Strays {
+		step := p.state.StepOf(stray.Ref)
+		switch {
+		case step != nil:
+			use.Add(step)
+		case p.now.Sub(stray.Since) <= unknownStrayTimeout:
 			// The stray occupies an unknown capacity.
 			return false
 		}
-		use.Add(step)
 	}
 	b := &p.learner.planBuffers
 	b.states = b.states[:len(b.states)+1]
--- a/core/tbcontrol/machines_fake_test.go
+++ b/core/tbcontrol/machines_fake_test.go
@@ -99,6 +99,8 @@
 	nextID int
 	// restartDelay is how long a crashed machine is away.
 	restartDelay time.Duration
+	// addOddEntries adds entries of other writers to the lists of a poll answer, if it is set.
+	addOddEntries func(a *tbfleet.PollAnswered)
 	// overfullStarts counts the starts that exceed the capacity of a machine. No machine refuses them.
 	overfullStarts int
 }
@@ -391,6 +393,9 @@
 					a.Running = append(a.Running, tbfleet.ListedRun{Ref: ref, Run: run.number, Progress: 100})
 				}
 				slices.SortFunc(a.Running, func(a, b tbfleet.ListedRun) int { return strings.Compare(a.Ref.String(), b.Ref.String()) })
+				if sim.addOddEntries != nil {
+					sim.addOddEntries(&a)
+				}
 			}
 		} else if !arrived && !sim.dark {
 			a.Cause = tbfleet.CauseDisconnected
--- a/core/tbcontrol/reports.go
+++ b/core/tbcontrol/reports.go
@@ -34,6 +34,11 @@
 	c.answerLeaderRequest(ev.Request, Answer{Code: a.Code, ReportElsewhere: a.ReportElsewhere})
 }
 
+// maxLoggedBytes bounds what a log line has of a text that another program has sent.
+const maxLoggedBytes = 200
+
+func shortened(text string) string { return text[:min(len(text), maxLoggedBytes)] }
+
 // onWorkersReported handles several reports. A report that needs a commit first is answered with NotReady.
 func (c *Control) onWorkersReported(now time.Time, request uint64, reports []tbfleet.Report) {
 	answers := make([]ReportAnswer, 0, len(reports))
@@ -54,6 +59,10 @@
 // report may have the id or address of a worker of the deployment, and must not change that worker's
 // state. It is therefore ignored, unless its incarnation and class match the recorded worker.
 func (c *Control) handleReport(now time.Time, r tbfleet.Report) (a ReportAnswer, mustCommit bool) {
+	if err := r.Validate(); err != nil {
+		c.emit(Log{Message: "report is invalid", Detail: err.Error(), Args: []any{"worker", shortened(r.ID)}})
+		return ReportAnswer{Code: Invalid}, false
+	}
 	recordedWorker := c.state.Flow.Workers[r.ID]
 	matchesRecord := recordedWorker != nil && recordedWorker.Incarnation == r.Incarnation && recordedWorker.Class == r.Class
 	if cfg := &c.state.Flow.Config; cfg.Version > 0 && !cfg.HasClass(r.Class) && !matchesRecord {
--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -54,7 +54,7 @@
 	CapacityKnownAt time.Time
 	// Strays are the tasks that the worker executes without an assignment, as far as the last poll answer
 	// tells. They are being stopped, and occupy capacity until they have ended.
-	Strays []tbflow.TaskRef
+	Strays []Stray
 	// ObservedUntil is the time before which the worker gets no new tasks because a task that may crash
 	// workers is observed there. It is zero if none is.
 	ObservedUntil time.Time
--- a/core/tbfleet/poll.go
+++ b/core/tbfleet/poll.go
@@ -173,11 +173,15 @@
 // recording them is not worth the log entries.
 func (f *Fleet) updateListedRuns(now time.Time, w *Worker, a PollAnswered) {
 	var firstListed []tbflow.RunRef
-	w.Strays = w.Strays[:0]
+	earlierStrays := w.Strays
+	w.Strays = nil
 	for _, r := range a.Running {
+		if r.Run == 0 {
+			continue
+		}
 		run := w.runs[r.Ref]
 		if run == nil || run.Number != r.Run {
-			w.Strays = append(w.Strays, r.Ref)
+			w.Strays = append(w.Strays, newStray(now, earlierStrays, tbflow.RunRef{Ref: r.Ref, Run: r.Run}))
 			if run == nil || run.Number > r.Run {
 				f.output.LogEvents = append(f.output.LogEvents, LogEvent{
 					Message: "run is not assigned", Worker: w.ID, Ref: r.Ref, Run: r.Run, Inputs: w.leaseLogInputs(now),
@@ -218,6 +222,16 @@
 	}
 }
 
+// newStray returns a stray, which may be among those of the last poll answer.
+func newStray(now time.Time, earlier []Stray, run tbflow.RunRef) Stray {
+	for _, s := range earlier {
+		if s.RunRef == run {
+			return s
+		}
+	}
+	return Stray{RunRef: run, Since: now}
+}
+
 func maxTime(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -225,6 +239,11 @@
 	return b
 }
 
+// maxEndNumberGap is the largest distance of the number of a listed end from that of the last recorded one.
+// Workers list at most a few hundred ends and number them in their order. An entry with a larger number is
+// not an end of the worker. If it were recorded, all further ends of the worker would count as recorded.
+const maxEndNumberGap = 1 << 20
+
 // proposeEnds proposes to record all listed ends that are not recorded yet.
 func (f *Fleet) proposeEnds(now time.Time, w *Worker, a PollAnswered) {
 	lastListedEnd := w.lastRecordedEnd
@@ -235,6 +254,9 @@
 			w.unackedEndCount++
 			continue
 		}
+		if e.Number-w.lastRecordedEnd > maxEndNumberGap {
+			continue
+		}
 		lastListedEnd = max(lastListedEnd, e.Number)
 		run := w.runs[e.Ref]
 		if run == nil || run.Number != e.Run {
@@ -273,7 +295,7 @@
 func (f *Fleet) resolveMissing(w *Worker, a PollAnswered) {
 	isListed := make(map[tbflow.TaskRef]bool, len(a.Running))
 	for _, r := range a.Running {
-		if run := w.runs[r.Ref]; run != nil && run.Number == r.Run {
+		if run := w.runs[r.Ref]; run != nil && (run.Number == r.Run || r.Run == 0) {
 			isListed[r.Ref] = true
 		}
 	}
--- a/core/tbfleet/types.go
+++ b/core/tbfleet/types.go
@@ -181,7 +181,9 @@
 
 // ListedRun is a run that a worker lists as running.
 type ListedRun struct {
-	Ref        tbflow.TaskRef
+	Ref tbflow.TaskRef
+	// Run is 0 if the entry of the task cannot be read. It then says nothing about any run of the task, which
+	// may be running, and neither does its absence elsewhere in the lists.
 	Run        uint64
 	Checkpoint string
 	// Progress is in percent. It is 100 for a long-running task that has finished its start-up.
@@ -191,6 +193,13 @@
 	Measurement int64
 }
 
+// Stray is a run that a worker lists as running, but that is not assigned to it.
+type Stray struct {
+	tbflow.RunRef
+	// Since is when a poll answer listed the run for the first time.
+	Since time.Time
+}
+
 // ListedEnd is an end that a worker lists. The ends of an incarnation are numbered from 1.
 type ListedEnd struct {
 	Number     uint64
@@ -220,7 +229,7 @@
 	// has acknowledged.
 	Running []ListedRun
 	Ended   []ListedEnd
-	// Partial is true if the lists may be incomplete, for example because there are too many ends.
+	// Partial is true if the lists may be incomplete, because there are too many ends.
 	Partial bool
 }
 
--- a/core/tbresource/resource.go
+++ b/core/tbresource/resource.go
@@ -8,6 +8,20 @@
 	Accelerators    int64
 }
 
+// MaxComponent is the largest component of a valid capacity. Sums over many instances stay far below the
+// largest int64.
+const MaxComponent = 1 << 40
+
+// IsValidCapacity reports whether each component is between 0 and MaxComponent.
+func (a Amount) IsValidCapacity() bool {
+	for _, component := range [...]int64{a.MilliProcessors, a.MemoryMB, a.Accelerators} {
+		if component < 0 || component > MaxComponent {
+			return false
+		}
+	}
+	return true
+}
+
 // Add returns the sum of a and b.
 func (a Amount) Add(b Amount) Amount {
 	return Amount{a.MilliProcessors + b.MilliProcessors, a.MemoryMB + b.MemoryMB, a.Accelerators + b.Accelerators}
--- a/io/tbdaemon/api.go
+++ b/io/tbdaemon/api.go
@@ -13,6 +13,7 @@
 	"tamarackbarrow/core/tbnode"
 	"tamarackbarrow/core/tbstate"
 	"tamarackbarrow/io/tbbundlefile"
+	"tamarackbarrow/io/tbcodec"
 	pb "tamarackbarrow/io/tbproto/v1"
 	"tamarackbarrow/io/tbproto/v1/tbprotov1connect"
 )
@@ -160,6 +161,12 @@
 	if m.GetId() == "" || m.GetIncarnation() == 0 || m.GetAddress() == "" || m.GetService() == "" || m.GetSlots() == 0 {
 		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("id, incarnation, address, service and slots must be set"))
 	}
+	if err := validateAnnouncement(m.GetAddress(), m.GetId(), m.GetService(), m.GetDataCentre(), m.GetWorker()); err != nil {
+		return nil, err
+	}
+	if n := m.GetSlots(); n > maxSlots {
+		return nil, connect.NewError(connect.CodeInvalidArgument, fmt.Errorf("slots is %d, at most %d are allowed", n, maxSlots))
+	}
 	answer, _, err := queueAndWait[tbentry.AnswerRunner](h.d, ctx, func(id uint64) tbnode.Event {
 		return tbnode.Event{Entry: tbentry.RunnerAnnounced{Request: id, Runner: runnerFromAnnouncement(m)}}
 	})
@@ -176,6 +183,12 @@
 	if m.GetId() == "" || m.GetIncarnation() == 0 || m.GetAddress() == "" || m.GetCapacity() == nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("id, incarnation, address and capacity must be set"))
 	}
+	if err := validateAnnouncement(m.GetAddress(), m.GetId(), m.GetDataCentre(), m.GetRack()); err != nil {
+		return nil, err
+	}
+	if amount := tbcodec.AmountFromWire(m.GetCapacity()); !amount.IsValidCapacity() {
+		return nil, connect.NewError(connect.CodeInvalidArgument, fmt.Errorf("capacity %+v has a component that is negative or too large", amount))
+	}
 	announced := tbentry.WorkerAnnounced{Worker: workerFromAnnouncement(m), ClockMs: m.GetClockMs()}
 	for _, t := range m.GetTasks() {
 		announced.Reports = append(announced.Reports, reportFromWire(t))
@@ -192,6 +205,27 @@
 	}), nil
 }
 
+// Limits of announcements. maxSlots bounds the sum of the slots of many runners, and maxNameBytes each name in
+// an announcement, in bytes.
+const (
+	maxSlots     = 1 << 16
+	maxNameBytes = 256
+)
+
+// validateAnnouncement returns an error if the address of a backend server cannot be connected to, or if one
+// of the names in its announcement is too long.
+func validateAnnouncement(address string, names ...string) error {
+	if err := ValidateAddress(address); err != nil {
+		return connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	for _, name := range names {
+		if len(name) > maxNameBytes {
+			return connect.NewError(connect.CodeInvalidArgument, fmt.Errorf("name %.40q... has %d bytes, at most %d are allowed", name, len(name), maxNameBytes))
+		}
+	}
+	return nil
+}
+
 // operatorHandler implements OperatorService for the command line.
 type operatorHandler struct{ d *Daemon }
 
