Avoid a worker that lists no end of a run that it has executed

A late poll for an earlier incarnation of a worker acknowledges as many ends of the next one, which then never lists them.

A run that is known to have executed and ends without a listed end now counts as a failure of its worker, which is avoided for a while after several of them.

--- a/core/tbcontrol/machines_fake_test.go
+++ b/core/tbcontrol/machines_fake_test.go
@@ -384,11 +384,11 @@
 			if a.Outcome == tbfleet.Accepted {
 				m.leaseEndMs = max(m.leaseEndMs, p.poll.LeaseEndMs)
 				m.lastAckedEnd = max(m.lastAckedEnd, p.poll.LastRecordedEnd)
-				if sim.now.Before(p.answerAt) && len(m.ended) == int(m.lastAckedEnd) {
+				if sim.now.Before(p.answerAt) && len(m.ended) <= int(m.lastAckedEnd) {
 					sim.polls = append(sim.polls, p)
 					continue
 				}
-				a.ActualIncarnation, a.ClockMs, a.Ended = m.incarnation, m.clockMs(sim.now), slices.Clone(m.ended[m.lastAckedEnd:])
+				a.ActualIncarnation, a.ClockMs, a.Ended = m.incarnation, m.clockMs(sim.now), slices.Clone(m.ended[min(m.lastAckedEnd, uint64(len(m.ended))):])
 				for ref, run := range m.running {
 					a.Running = append(a.Running, tbfleet.ListedRun{Ref: ref, Run: run.number, Progress: 100})
 				}
--- a/core/tbfleet/poll.go
+++ b/core/tbfleet/poll.go
@@ -160,7 +160,7 @@
 	f.endObservations(w)
 	f.proposeEnds(now, w, a)
 	if !a.Partial {
-		f.resolveMissing(w, a)
+		f.resolveMissing(now, w, a)
 	}
 	if w.needsRecheck() {
 		w.nextPollAt = now.Add(recheckPause)
@@ -292,7 +292,7 @@
 //
 // Any other executing run that is missing is stopped, unless the poll was sent before the run was
 // last confirmed. In that case, the lists may be those of an earlier incarnation.
-func (f *Fleet) resolveMissing(w *Worker, a PollAnswered) {
+func (f *Fleet) resolveMissing(now time.Time, w *Worker, a PollAnswered) {
 	isListed := make(map[tbflow.TaskRef]bool, len(a.Running))
 	for _, r := range a.Running {
 		if run := w.runs[r.Ref]; run != nil && (run.Number == r.Run || r.Run == 0) {
@@ -305,6 +305,11 @@
 		}
 		stopConfirmed := !run.stopConfirmedAt.IsZero() && a.SentAt.After(run.stopConfirmedAt)
 		startFencedOff := run.earlierIncarnation != 0 && a.SentAt.After(run.confirmedAt)
+		if stopConfirmed && run.isConfirmed {
+			// The worker has executed the run and lists no end. A late poll for its earlier incarnation may
+			// have acknowledged the ends of this one, which then lists none of its next ends, either.
+			f.addFailure(now, w)
+		}
 		switch {
 		case run.Phase == RunUnknown, startFencedOff, stopConfirmed:
 			f.proposeNeverRan(w, w.assignedIncarnation(run), ref, run)
