Wait for space wherever a full disk is found

Operators of other systems report that changes stay unanswered after disks were full in turn.

A record whose sync finds the disk full is written anew. A daemon that starts on a full disk waits.

--- a/core/tbcontrol/group_test.go
+++ b/core/tbcontrol/group_test.go
@@ -41,6 +41,10 @@
 	// busyUntil is when the replica has finished its earlier events. Later events wait until then. The zero
 	// time means that it is not busy.
 	busyUntil time.Time
+	// diskFullUntil is when the replica's disk has room again. Until then it saves nothing: delayedSaves wait,
+	// and snapshots of its own are skipped.
+	diskFullUntil time.Time
+	delayedSaves  []tbcontrol.Save
 	// clockOffset is how far the replica's clock is ahead.
 	clockOffset time.Duration
 }
@@ -137,14 +141,12 @@
 		case tbcontrol.SendMessages:
 			g.send(r, e.Messages)
 		case tbcontrol.Save:
-			r.save(e)
-			g.send(r, e.Messages)
-			if n := len(e.Entries); n > 0 {
-				last := e.Entries[n-1]
-				g.step(r, tbcontrol.EntriesPersisted{Term: last.Term, Index: last.Index})
-			}
+			r.delayedSaves = append(r.delayedSaves, e)
+			g.saveDelayed(r)
 		case tbcontrol.SaveSnapshot:
-			r.compact(e.Snapshot)
+			if !g.now.Before(r.diskFullUntil) {
+				r.compact(e.Snapshot)
+			}
 		case tbcontrol.AnswerLeaderRequest:
 			r.answerByRequest[e.Request] = e
 		case tbcontrol.SendOrder:
@@ -155,6 +157,20 @@
 	}
 }
 
+// saveDelayed carries out the saves of a replica, unless its disk is full.
+func (g *simulatedGroup) saveDelayed(r *replica) {
+	for len(r.delayedSaves) > 0 && !g.now.Before(r.diskFullUntil) {
+		e := r.delayedSaves[0]
+		r.delayedSaves = r.delayedSaves[1:]
+		r.save(e)
+		g.send(r, e.Messages)
+		if n := len(e.Entries); n > 0 {
+			last := e.Entries[n-1]
+			g.step(r, tbcontrol.EntriesPersisted{Term: last.Term, Index: last.Index})
+		}
+	}
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -211,6 +227,7 @@
 		}
 		g.undeliveredMessages = nil
 		for _, r := range g.replicas {
+			g.saveDelayed(r)
 			switch {
 			case r.isolated:
 			case g.now.Before(r.busyUntil):
--- a/io/tbdaemon/daemon.go
+++ b/io/tbdaemon/daemon.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -137,7 +139,11 @@
 	if d.settings.DataFolder == "" {
 		return nil, nil
 	}
-	folder, err := tbstore.OpenFolder(d.settings.DataFolder)
+	var folder *tbstore.Folder
+	err := d.waitForSpace(func() (err error) {
+		folder, err = tbstore.OpenFolder(d.settings.DataFolder)
+		return err
+	})
 	if err != nil {
 		return nil, merry.Prepend(err, "cannot open the data folder")
 	}
@@ -162,6 +168,24 @@
 	return control, nil
 }
 
+// diskFullRetryInterval is the time between two tries to open the data folder on a full disk.
+const diskFullRetryInterval = 200 * time.Millisecond
+
+// waitForSpace repeats an operation of the start while it finds the disk full.
+func (d *Daemon) waitForSpace(operation func() error) error {
+	err := operation()
+	if !errors.Is(err, syscall.ENOSPC) {
+		return err
+	}
+	d.onDiskFull(true)
+	for errors.Is(err, syscall.ENOSPC) {
+		time.Sleep(diskFullRetryInterval)
+		err = operation()
+	}
+	d.onDiskFull(false)
+	return err
+}
+
 func (d *Daemon) onDiskFull(full bool) {
 	if full {
 		d.log.Error("disk is full: no change is accepted until there is room", "folder", d.settings.DataFolder)
--- a/io/tbdaemon/group.go
+++ b/io/tbdaemon/group.go
@@ -42,7 +42,7 @@
 	}
 	if !found {
 		id = d.newIdentity()
-		if err := folder.WriteIdentity(id); err != nil {
+		if err := d.waitForSpace(func() error { return folder.WriteIdentity(id) }); err != nil {
 			return merry.Prepend(err, "cannot write the replica's identity")
 		}
 	}
--- a/io/tbdaemon/storage.go
+++ b/io/tbdaemon/storage.go
@@ -21,8 +21,15 @@
 	cond   *sync.Cond
 	jobs   []storageJob
 	closed bool
+	// unsaved is the newest snapshot that was not saved because the disk was full, or nil. It is tried again
+	// from retrySnapshotAt on.
+	unsaved         *tbconsensus.Snapshot
+	retrySnapshotAt time.Time
 }
 
+// snapshotRetryInterval is the time between two tries to save a snapshot on a full disk.
+const snapshotRetryInterval = time.Second
+
 // storageJob is a save or a snapshot. Exactly one of its fields is set.
 type storageJob struct {
 	save     *tbcontrol.Save
@@ -98,14 +105,22 @@
 			return err
 		}
 	}
-	return s.saveAll(saves)
+	if err := s.saveAll(saves); err != nil {
+		return err
+	}
+	if s.unsaved != nil && !time.Now().Before(s.retrySnapshotAt) {
+		return s.saveSnapshot(*s.unsaved)
+	}
+	return nil
 }
 
-// saveSnapshot saves a snapshot. If the disk is full, it skips the snapshot; no data is lost, because
+// saveSnapshot saves a snapshot. If the disk is full, it puts the snapshot off; no data is lost, because
 // the log still has all entries.
 func (s *storage) saveSnapshot(snapshot tbconsensus.Snapshot) error {
 	err := s.store.SaveSnapshot(snapshot)
+	s.unsaved = nil
 	if errors.Is(err, syscall.ENOSPC) {
+		s.unsaved, s.retrySnapshotAt = &snapshot, time.Now().Add(snapshotRetryInterval)
 		s.d.log.Error("disk is full: a snapshot was not saved", "index", snapshot.Meta.Index)
 		s.d.counters.add("storage.snapshotNotSaved")
 		return nil
@@ -121,6 +136,9 @@
 	}
 	changeSets := make([]tbstore.ChangeSet, len(saves))
 	for i, save := range saves {
+		if save.Install != nil {
+			s.unsaved = nil
+		}
 		changeSets[i] = tbstore.ChangeSet{Install: save.Install, Entries: save.Entries, HardState: save.HardState}
 	}
 	start := time.Now()
--- a/io/tbstore/store.go
+++ b/io/tbstore/store.go
@@ -69,7 +69,8 @@
 		return nil, persisted, err
 	}
 	s.hardState = persisted.HardState
-	if err := s.startSegment(nil); err != nil {
+	// On a full disk, the first Append waits for the space for a segment.
+	if err := s.startSegment(nil); err != nil && !errors.Is(err, syscall.ENOSPC) {
 		return nil, persisted, err
 	}
 	return s, persisted, nil
@@ -78,6 +79,9 @@
 // Close closes the newest segment. An Append that waits for space on a full disk returns an error.
 func (s *Store) Close() error {
 	close(s.closed)
+	if s.file == nil {
+		return nil
+	}
 	return s.file.Close()
 }
 
@@ -85,8 +89,7 @@
 func (s *Store) Syncs() uint64 { return s.syncs }
 
 // Append makes change sets durable, with one sync if they are not large, none of them installs a snapshot
-// and no new segment is started. On a full disk it waits for space to write a log record, but returns an error
-// if it cannot store a snapshot or create a segment.
+// and no new segment is started. On a full disk it waits for space.
 func (s *Store) Append(changeSets []ChangeSet) error {
 	var pending []ChangeSet
 	pendingBytes := 0
@@ -124,6 +127,11 @@
 
 // appendRecord writes change sets as one record, a pb.StoredGroup, and syncs it.
 func (s *Store) appendRecord(changeSets []ChangeSet) error {
+	if s.file == nil {
+		if err := s.waitForSpace(func() error { return s.startSegment(nil) }); err != nil {
+			return err
+		}
+	}
 	m := &pb.StoredGroup{}
 	for _, c := range changeSets {
 		for _, e := range c.Entries {
@@ -142,45 +150,61 @@
 		return err
 	}
 	if s.size >= maxSegmentBytes {
-		return s.startSegment(nil)
+		if err := s.startSegment(nil); err != nil && !errors.Is(err, syscall.ENOSPC) {
+			return err
+		}
 	}
 	return nil
 }
 
+// write writes a record and syncs it. If the disk is full, it waits until there is space or the store is
+// closed.
 func (s *Store) write(m *pb.StoredGroup) error {
 	payload, err := proto.Marshal(m)
 	if err != nil {
 		return fmt.Errorf("cannot encode a stored change set: %w", err)
 	}
 	record := frameRecord(payload)
-	if err := s.writeRecord(record); err != nil {
+	if err := s.waitForSpace(func() error { return s.writeAndSync(record) }); err != nil {
 		return err
 	}
 	s.size += int64(len(record))
 	s.syncs++
-	if err := s.file.Sync(); err != nil {
-		return fmt.Errorf("cannot sync segment %q: %w", s.active.name, err)
-	}
 	return nil
 }
 
-// writeRecord writes a record. If the disk is full, it truncates the partial write and retries until
-// there is space or the store is closed.
-func (s *Store) writeRecord(record []byte) error {
+// writeAndSync writes a record at the end of the segment. If the disk is full, it truncates what it has
+// written, so that it can be called again.
+//
+// A sync that finds the disk full may have written a part of the record. The record is therefore written
+// anew. Other failures of a sync leave unknown what the disk holds.
+func (s *Store) writeAndSync(record []byte) error {
+	_, err := s.file.Write(record)
+	if err == nil {
+		err = s.file.Sync()
+	}
+	if err == nil {
+		return nil
+	}
+	if errors.Is(err, syscall.ENOSPC) {
+		if truncateErr := s.file.Truncate(s.size); truncateErr != nil {
+			return fmt.Errorf("cannot truncate the partial write to segment %q on a full disk: %v", s.active.name, truncateErr)
+		}
+	}
+	return fmt.Errorf("cannot write segment %q: %w", s.active.name, err)
+}
+
+// waitForSpace repeats an operation while it finds the disk full. It returns an error if the operation
+// fails for another reason, or if the store is closed.
+func (s *Store) waitForSpace(operation func() error) error {
 	full := false
 	for {
-		_, err := s.file.Write(record)
-		if err == nil {
-			if full {
+		err := operation()
+		if !errors.Is(err, syscall.ENOSPC) {
+			if full && err == nil {
 				s.onDiskFull(false)
 			}
-			return nil
-		}
-		if !errors.Is(err, syscall.ENOSPC) {
-			return fmt.Errorf("cannot write segment %q: %w", s.active.name, err)
-		}
-		if err := s.file.Truncate(s.size); err != nil {
-			return fmt.Errorf("cannot truncate the partial write to segment %q on a full disk: %w", s.active.name, err)
+			return err
 		}
 		if !full {
 			full = true
@@ -195,7 +219,8 @@
 }
 
 // startSegment creates the next segment and writes the segment's first record. The parameter first
-// holds that record; nil stands for an empty record. In both cases the hard state is added.
+// holds that record; nil stands for an empty record. In both cases the hard state is added. If the disk is
+// too full to create a file, it returns ENOSPC and has changed nothing.
 func (s *Store) startSegment(first *pb.StoredGroup) error {
 	name := fmt.Sprintf(numberedNameFormat, segmentPrefix, s.segmentNumber+1)
 	file, err := s.files.Create(name)
@@ -219,7 +244,7 @@
 	if err := s.write(first); err != nil {
 		return err
 	}
-	return s.files.SyncFolder()
+	return s.waitForSpace(s.files.SyncFolder)
 }
 
 // SaveSnapshot stores a snapshot of the log prefix. It then removes the segments and the older
@@ -237,11 +262,11 @@
 // installSnapshot stores a snapshot received from the leader. It discards all log entries stored so
 // far, including entries after the snapshot.
 func (s *Store) installSnapshot(snapshot tbconsensus.Snapshot) error {
-	if err := s.writeSnapshot(snapshot); err != nil {
+	if err := s.waitForSpace(func() error { return s.writeSnapshot(snapshot) }); err != nil {
 		return err
 	}
 	// Reset makes recovery discard the entries of all earlier records.
-	if err := s.startSegment(&pb.StoredGroup{Reset_: true}); err != nil {
+	if err := s.waitForSpace(func() error { return s.startSegment(&pb.StoredGroup{Reset_: true}) }); err != nil {
 		return err
 	}
 	for i := range s.sealed {
@@ -258,21 +283,32 @@
 	if err := s.removeIfExists(tempSnapshotName); err != nil {
 		return err
 	}
+	if len(payload) > maxRecordBytes {
+		return fmt.Errorf("snapshot at index %d has %d bytes, at most %d are allowed", snapshot.Meta.Index, len(payload), maxRecordBytes)
+	}
+	if err := s.writeTempSnapshot(payload); err != nil {
+		// What was written would take the space that the disk lacks.
+		return errors.Join(err, s.removeIfExists(tempSnapshotName))
+	}
+	name := fmt.Sprintf(numberedNameFormat, snapshotPrefix, snapshot.Meta.Index)
+	if err := s.files.Rename(tempSnapshotName, name); err != nil {
+		return errors.Join(err, s.removeIfExists(tempSnapshotName))
+	}
+	return s.files.SyncFolder()
+}
+
+func (s *Store) writeTempSnapshot(payload []byte) error {
 	file, err := s.files.Create(tempSnapshotName)
 	if err != nil {
 		return err
 	}
 	if _, err := file.Write(frameRecord(payload)); err != nil {
-		return errors.Join(fmt.Errorf("cannot write a snapshot: %w", err), file.Close(), s.files.Remove(tempSnapshotName))
+		return errors.Join(fmt.Errorf("cannot write a snapshot: %w", err), file.Close())
 	}
 	if err := errors.Join(file.Sync(), file.Close()); err != nil {
 		return fmt.Errorf("cannot sync a snapshot: %w", err)
 	}
-	name := fmt.Sprintf(numberedNameFormat, snapshotPrefix, snapshot.Meta.Index)
-	if err := s.files.Rename(tempSnapshotName, name); err != nil {
-		return err
-	}
-	return s.files.SyncFolder()
+	return nil
 }
 
 func (s *Store) removeIfExists(name string) error {
@@ -314,5 +350,5 @@
 			}
 		}
 	}
-	return s.files.SyncFolder()
+	return s.waitForSpace(s.files.SyncFolder)
 }
