--- a/io/tbdaemon/config.go
+++ b/io/tbdaemon/config.go
@@ -40,7 +40,7 @@
 	maxWaitingProposals = 20_000
 	maxWaitingBytes     = 4 * MaxCommandBytes
 	maxJobBytes         = 32 << 20
-	snapshotLogBytes    = 16 << 20
+	snapshotLogBytes    = 32 << 20
 	maxEntriesApplied   = 64
 	workerRetryInterval = 250 * time.Millisecond
 )
