Elect the first leader of a group with a quorum of its founders

That protects a group whose replicas come back under their ids with empty disks. In a group that forms itself from seeds they cannot: the id is stored in the data folder, and a replica without one joins under a new id. There a quorum is enough, and an empty log is no sign of a loss.

--- a/core/tbconsensus/election.go
+++ b/core/tbconsensus/election.go
@@ -56,7 +56,8 @@
 // hasEnoughVotes reports whether a quorum granted its votes or, if the log is empty, all voters did.
 //
 // With an empty log a quorum is not enough: two replicas of three that lost
-// their disks would elect a leader that lacks the data of the third.
+// their disks would elect a leader that lacks the data of the third. It is enough if such replicas have new
+// ids. One of the first replicas may then be lost before the first election.
 func (r *Replica) hasEnoughVotes() bool {
 	grantedCount := 0
 	for _, m := range r.membership.Members {
@@ -64,7 +65,7 @@
 			grantedCount++
 		}
 	}
-	if r.log.lastIndex() == 0 {
+	if r.log.lastIndex() == 0 && !r.cfg.NewIDAfterDiskLoss {
 		return grantedCount == r.voterCount()
 	}
 	return grantedCount >= r.quorumSize()
--- a/core/tbconsensus/replica.go
+++ b/core/tbconsensus/replica.go
@@ -303,7 +303,7 @@
 // replicas 1 and 2 committed an entry, and 2 lost its disk. If 2 voted for 3, which lacks the entry, the
 // entry would be lost. So replica 2 has to join under a new id.
 func (r *Replica) mustIgnoreAfterDataLoss(m Message) bool {
-	if !r.uninitialized || r.cfg.Join {
+	if !r.uninitialized || r.cfg.Join || r.cfg.NewIDAfterDiskLoss {
 		return false
 	}
 	electsFirstLeader := m.LogIndex == 0 && (m.Kind == MsgPreVote || m.Kind == MsgVote)
--- a/core/tbconsensus/types.go
+++ b/core/tbconsensus/types.go
@@ -184,6 +184,9 @@
 	Seed uint64
 	// Join is true for a replica that is added to an existing group.
 	Join bool
+	// NewIDAfterDiskLoss is true if a replica that has lost its disk always starts with another id. An empty
+	// log then proves that the replica has lost nothing.
+	NewIDAfterDiskLoss bool
 }
 
 // PersistedState is the persisted state from which a replica starts.
--- a/io/tbdaemon/config.go
+++ b/io/tbdaemon/config.go
@@ -79,6 +79,8 @@
 			ID: s.ReplicaID, ElectionTimeout: s.Times.ElectionTimeout, HeartbeatInterval: s.Times.Heartbeat,
 			ClockRateBound: s.Times.ClockRateBound, MaxBatchBytes: maxAppendBytes, MaxInFlightBytes: maxInFlightBytes,
 			ChunkBytes: snapshotChunkBytes, Seed: seed, Join: s.Join,
+			// In a group that forms itself, the id is stored in the data folder (see loadIdentity).
+			NewIDAfterDiskLoss: s.Group != nil,
 		},
 		EntryLease: entryLease(s.Times), TaskLease: taskLease(s.Times),
 		BackendSilence: s.Times.BackendSilence, DeliveryMargin: s.Times.DeliveryMargin,
