Observe tasks for longer that take longer to crash their workers

The observation time follows the longest run before a crash up to 75 s, a quarter of the time for which a crash counts; with longer runs, three crashes never count at once. TestTaskThatCrashesItsWorkersLateIsGivenUp has the cases of 11 and 20 s, which failed before.

--- a/core/tbcontrol/crashing_tasks_test.go
+++ b/core/tbcontrol/crashing_tasks_test.go
@@ -222,14 +222,14 @@
 
 // A task runs for a while until it crashes its worker, beside a steady load of young tasks.
 func TestTaskThatCrashesItsWorkersLateIsGivenUp(t *testing.T) {
-	for _, after := range []time.Duration{100 * time.Millisecond, 900 * time.Millisecond, 2500 * time.Millisecond, 4 * time.Second} {
+	for _, after := range []time.Duration{100 * time.Millisecond, 900 * time.Millisecond, 2500 * time.Millisecond, 4 * time.Second, 11 * time.Second, 20 * time.Second} {
 		t.Run(after.String(), func(t *testing.T) {
 			sim := newCrashSimulation(t, 5, 16)
 			ref := tbflow.TaskRef{Job: "slow"}
 			sim.crashTime = func(r tbflow.TaskRef) (time.Duration, bool) { return after, r == ref }
 			need := tbresource.Amount{MilliProcessors: 1000, MemoryMB: 100}
 			sim.submit(tbflow.Job{ID: "slow", Steps: []tbflow.Step{{Count: 1, Need: need, LongRunning: true, Image: "slow"}}})
-			for n := 0; n < 30 && !sim.flow().Jobs["slow"].Phase.Ended(); n++ {
+			for n := 0; n < 120 && !sim.flow().Jobs["slow"].Phase.Ended(); n++ {
 				sim.submitLoad(fmt.Sprintf("load%02d-", n), 4)
 				sim.run(time.Second)
 			}
--- a/core/tbflow/crash.go
+++ b/core/tbflow/crash.go
@@ -19,7 +19,7 @@
 	// minObservation is the observation time of a task without crashes. A task that takes longer to crash
 	// its worker is observed for longer after its first crash.
 	minObservation = time.Second
-	maxObservation = 10 * time.Second
+	maxObservation = crashRetention / 4
 	// crashRetention is how long a crash counts. A long-running task must not be given up for rare crashes
 	// of its machines.
 	crashRetention = 5 * time.Minute
