Do not take the time since an assignment for execution after a takeover

A worker crashed 0.6 s after a start, and three leaders followed each other before one learned of it. That one took the 5.7 s since the assignment, less a lease, for known execution, so that the run counted as proven and the crash removed the earlier ones.

A new leader now knows nothing of the execution of a run that the state does not show as listed by its worker, until the worker lists it.

--- a/core/tbfleet/run_time.go
+++ b/core/tbfleet/run_time.go
@@ -16,12 +16,14 @@
 	return r.earlierRunTime + time.Duration(r.executingUntilMs-r.executingSinceMs)*time.Millisecond
 }
 
-// restoreRunTime sets what a new leader knows of a run that was assigned some time ago. The earlier leader
-// has renewed the lease of the worker, so that the run was executing at most a lease ago. If the worker
-// lists the run, it has most probably executed it since its assignment.
+// restoreRunTime sets what a new leader knows of a run that was assigned some time ago. If the state says
+// that the worker has listed the run, an earlier leader has renewed its lease, so that it was executing at
+// most a lease ago. Otherwise nothing is known: the worker may have crashed under the run soon after its
+// assignment, and no leader may have had the time to find out. If the worker lists the run, it has most
+// probably executed it since its assignment.
 func (r *Run) restoreRunTime(sinceAssignment, lease time.Duration) {
 	r.timeBeforeTerm = sinceAssignment
-	if sinceAssignment > lease {
+	if sinceAssignment > lease && r.listed {
 		r.earlierRunTime, r.isConfirmed = sinceAssignment-lease, true
 	}
 }
