Allow for leaders' clocks in the run time that a takeover restores

The time since an assignment is a difference of the wall clocks of two leaders.

A lease is taken off, as it already was before the worker lists the run.

--- a/core/tbfleet/run_time.go
+++ b/core/tbfleet/run_time.go
@@ -22,9 +22,10 @@
 // assignment, and no leader may have had the time to find out. If the worker lists the run, it has most
 // probably executed it since its assignment.
 func (r *Run) restoreRunTime(sinceAssignment, lease time.Duration) {
-	r.timeBeforeTerm = sinceAssignment
-	if sinceAssignment > lease && r.listed {
-		r.earlierRunTime, r.isConfirmed = sinceAssignment-lease, true
+	// The clocks of leaders differ, so that sinceAssignment may be too long. A lease is a wide margin for that.
+	r.timeBeforeTerm = max(0, sinceAssignment-lease)
+	if r.timeBeforeTerm > 0 && r.listed {
+		r.earlierRunTime, r.isConfirmed = r.timeBeforeTerm, true
 	}
 }
 
