Watch a worker whose unanswered start was settled until it can have no effect

A worker without runs was not polled, so that nobody noticed the restart.

The leader now keeps a poll open at such a worker until the start can have no effect, with a higher token than that of the start. The end of the worker closes the poll, and its next incarnation is polled, and thereby fenced, within the pause between two tries.

--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -101,6 +101,9 @@
 	ackInFlight bool
 	// pollSuperseded is true once the serial is higher than that of the poll in flight.
 	pollSuperseded bool
+	// watchedUntil is when no settled start can be executed late any more. Until then the worker is polled
+	// although it has no runs, so that its restart is noticed at once (see watchForLateStart).
+	watchedUntil time.Time
 	// unackedEndCount is the number of ends in the last poll answer that were already recorded, but
 	// not yet acknowledged.
 	unackedEndCount int
--- a/core/tbfleet/poll.go
+++ b/core/tbfleet/poll.go
@@ -18,7 +18,7 @@
 // reconcile gives up the runs of a lost worker, and sends a registered worker the orders that are
 // due.
 func (f *Fleet) reconcile(now time.Time, w *Worker) {
-	if len(w.runs) == 0 && w.lastAckedEnd >= w.lastRecordedEnd && !w.Unresponsive && !w.needsFence {
+	if len(w.runs) == 0 && w.lastAckedEnd >= w.lastRecordedEnd && !w.Unresponsive && !w.needsFence && !now.Before(w.watchedUntil) {
 		return
 	}
 	if (!w.registered || w.Unresponsive) && now.After(w.leaseExpiresAt) {
@@ -62,7 +62,7 @@
 	if len(w.runs) > 0 && !w.Unresponsive {
 		poll.LeaseEndMs = f.renewLease(now, w)
 	}
-	if len(w.runs) > 0 && mayWait {
+	if (len(w.runs) > 0 || now.Before(w.watchedUntil)) && mayWait {
 		poll.Wait = f.params.PollWait
 		poll.Timeout += poll.Wait
 	}
@@ -310,6 +310,9 @@
 			// have acknowledged the ends of this one, which then lists none of its next ends, either.
 			f.addFailure(now, w)
 		}
+		if stopConfirmed && !run.isConfirmed {
+			f.watchForLateStart(w, run)
+		}
 		switch {
 		case run.Phase == RunUnknown, startFencedOff, stopConfirmed:
 			f.proposeNeverRan(w, w.assignedIncarnation(run), ref, run)
@@ -319,6 +322,17 @@
 	}
 }
 
+// watchForLateStart watches a worker that has confirmed the stop of a run whose start was not answered.
+//
+// The worker refuses the start from now on, but its next incarnation would not: it knows neither the stop
+// nor the token, and the start may still be executed late. An open poll shows at once that the worker ends,
+// and the first poll that reaches the next incarnation brings a higher token than that of the start.
+func (f *Fleet) watchForLateStart(w *Worker, run *Run) {
+	w.watchedUntil = maxTime(w.watchedUntil, run.startSentAt.Add(f.params.MaxOrderDelay))
+	w.serial++
+	w.pollSuperseded = w.pollInFlight
+}
+
 // assignedIncarnation returns the incarnation to which the state assigns a run.
 func (w *Worker) assignedIncarnation(run *Run) int64 {
 	if run.earlierIncarnation != 0 {
