--- a/core/tbflow/size.go
+++ b/core/tbflow/size.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Sizes in bytes that a snapshot has at most for parts of a job, without their texts.
+// Sizes in bytes that a snapshot has about for parts of a job, without their texts and checkpoints.
 const (
 	jobBaseBytes  = 200
 	stepBaseBytes = 120
