--- a/io/tbstore/store.go
+++ b/io/tbstore/store.go
@@ -177,7 +177,7 @@
 // written, so that it can be called again.
 //
 // A sync that finds the disk full may have written a part of the record. The record is therefore written
-// anew. Other failures of a sync leave unknown what the disk holds.
+// again. Other failures of a sync leave unknown what the disk holds.
 func (s *Store) writeAndSync(record []byte) error {
 	_, err := s.file.Write(record)
 	if err == nil {
