Account for the leader's time by kind of event and for its plans

The hypotheses about the throttled best-effort work cannot be told apart by the logs: nothing says what the event loop's time goes to, how long each kind of event waits for it, or which limit a plan has reached. The leader now writes one line a second, "event loop", with the number of events of each kind, the time to decide and to perform, mean and largest ages, and each plan with its runs, its limit, the waiting steps, the unanswered starts and the duration of its step. Plans report themselves as the effect PlanMade; NextPlan returns a PlannedRuns. No decision changes.

--- a/core/tbassign/plan.go
+++ b/core/tbassign/plan.go
@@ -10,21 +10,22 @@
 
 // Plan returns at most limit runs that should start now, in the order of planState.orderForStart.
 func Plan(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer, limit int) []tbflow.Assignment {
-	runs, _ := planAll(now, s, f, l, g, limit)
-	return runs
+	return planAll(now, s, f, l, g, limit).Runs
 }
 
-// planAll returns the runs of Plan and how many times a worker was scored for a step.
-func planAll(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer, limit int) ([]tbflow.Assignment, int) {
+func planAll(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer, limit int) PlannedRuns {
 	steps := waitingSteps(now, s, l)
+	plan := PlannedRuns{IsFull: true, Limit: limit, WaitingSteps: len(steps)}
 	if len(steps) == 0 {
-		return nil, 0
+		return plan
 	}
 	state := newPlanState(now, s, f, l, g, steps)
 	state.addWorkloads()
 	state.computeSlotBudgets(steps)
 	state.orderForStart(steps)
-	return state.placeAll(steps, limit), state.candidates.scoredWorkers
+	plan.Runs = state.placeAll(steps, limit)
+	plan.scoredWorkers = state.candidates.scoredWorkers
+	return plan
 }
 
 func (p *planState) placeAll(steps []*waitingStep, limit int) []tbflow.Assignment {
--- a/core/tbassign/planner.go
+++ b/core/tbassign/planner.go
@@ -53,30 +53,47 @@
 // before the first full plan.
 func (p *Planner) NextFullPlanAt() time.Time { return p.nextFullPlanAt }
 
-// NextPlan returns the runs that should start now and whether they come from a full plan.
-func (p *Planner) NextPlan(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer) ([]tbflow.Assignment, bool) {
+// PlannedRuns is a plan: the runs that should start now, and what the plan was made from.
+type PlannedRuns struct {
+	Runs []tbflow.Assignment
+	// IsFull is false for a plan of short steps.
+	IsFull bool
+	// Limit is the largest number of runs that the plan could have.
+	Limit int
+	// WaitingSteps is the number of steps that the plan has considered.
+	WaitingSteps int
+	// scoredWorkers is how many times a worker was scored for a step.
+	scoredWorkers int
+}
+
+// NextPlan returns the next plan.
+func (p *Planner) NextPlan(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer) PlannedRuns {
 	if now.Before(p.nextFullPlanAt) {
-		return PlanShortSteps(now, s, f, l, g, maxRunsPerPlan), false
+		return planShortSteps(now, s, f, l, g, maxRunsPerPlan)
 	}
-	limit := max(minFullPlanRuns, maxUnansweredStarts-f.UnansweredStarts())
-	runs, scoredWorkers := planAll(now, s, f, l, g, limit)
+	plan := planAll(now, s, f, l, g, max(minFullPlanRuns, maxUnansweredStarts-f.UnansweredStarts()))
 	interval := fullPlanInterval
-	if len(runs) >= limit {
+	if len(plan.Runs) >= plan.Limit {
 		interval = fullPlanIntervalAtLimit
 	}
-	p.nextFullPlanAt = now.Add(max(interval, time.Duration(scoredWorkers)*fullPlanIntervalPerScore))
-	return runs, true
+	p.nextFullPlanAt = now.Add(max(interval, time.Duration(plan.scoredWorkers)*fullPlanIntervalPerScore))
+	return plan
 }
 
 // PlanShortSteps returns at most limit runs of short steps that should start now. A full plan
 // would begin with the same runs if no queue of best-effort work has a higher priority than a
 // queue of short jobs.
 func PlanShortSteps(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer, limit int) []tbflow.Assignment {
+	return planShortSteps(now, s, f, l, g, limit).Runs
+}
+
+func planShortSteps(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer, limit int) PlannedRuns {
 	steps := shortSteps(now, s, l)
-	if len(steps) == 0 {
-		return nil
+	plan := PlannedRuns{Limit: limit, WaitingSteps: len(steps)}
+	if len(steps) > 0 {
+		plan.Runs = newPlanState(now, s, f, l, g, steps).placeAll(steps, limit)
 	}
-	return newPlanState(now, s, f, l, g, steps).placeAll(steps, limit)
+	return plan
 }
 
 // isShort reports whether a step is neither best-effort nor long-running.
--- a/core/tbassign/planner_test.go
+++ b/core/tbassign/planner_test.go
@@ -150,7 +150,8 @@
 	r = newBurstSimulator(t)
 	var planner Planner
 	median, p95 = r.runPlans(func() ([]tbflow.Assignment, bool) {
-		return planner.NextPlan(r.now, r.state, r.fleet, r.learner, r.rebalancer)
+		plan := planner.NextPlan(r.now, r.state, r.fleet, r.learner, r.rebalancer)
+		return plan.Runs, plan.IsFull
 	})
 	t.Logf("with plans of short steps: %d short runs, median wait %s, 95th percentile %s; %d best-effort runs",
 		len(r.shortRunWaits), median, p95, r.bestEffortRunCount)
--- a/core/tbcontrol/flow.go
+++ b/core/tbcontrol/flow.go
@@ -323,12 +323,16 @@
 	if !l.needsPlan || l.assignInFlight || now.Before(l.earliestPlanAt) {
 		return
 	}
-	runs, isFull := l.planner.NextPlan(now, c.state.Flow, l.fleet, l.learner, l.rebalancer)
+	unansweredStarts := l.fleet.UnansweredStarts()
+	plan := l.planner.NextPlan(now, c.state.Flow, l.fleet, l.learner, l.rebalancer)
 	// A partial plan covers short steps only (see tbassign.Planner); the next full plan covers the rest.
-	l.needsPlan, l.earliestPlanAt = !isFull, l.planner.NextFullPlanAt()
-	if len(runs) > 0 {
+	l.needsPlan, l.earliestPlanAt = !plan.IsFull, l.planner.NextFullPlanAt()
+	if plan.IsFull || plan.WaitingSteps > 0 {
+		c.emit(PlanMade{IsFull: plan.IsFull, Runs: len(plan.Runs), Limit: plan.Limit, WaitingSteps: plan.WaitingSteps, UnansweredStarts: unansweredStarts})
+	}
+	if len(plan.Runs) > 0 {
 		l.assignInFlight = true
-		c.proposeFlowChange(tbflow.Assign{Assignments: runs})
+		c.proposeFlowChange(tbflow.Assign{Assignments: plan.Runs})
 	}
 }
 
--- a/core/tbcontrol/types.go
+++ b/core/tbcontrol/types.go
@@ -240,6 +240,21 @@
 	Routine bool
 }
 
+// PlanMade reports a plan of runs of multi-step jobs, for the account of the leader's work. No action
+// follows from it.
+type PlanMade struct {
+	// IsFull is false for a plan of short steps only.
+	IsFull bool
+	// Runs is the number of runs of the plan, and Limit the largest number that it could have.
+	Runs  int
+	Limit int
+	// WaitingSteps is the number of steps that the plan has considered.
+	WaitingSteps int
+	// UnansweredStarts is the number of unanswered starts when the plan was made.
+	UnansweredStarts int
+}
+
+func (PlanMade) isEffect()           {}
 func (SendMessages) isEffect()       {}
 func (Save) isEffect()               {}
 func (SaveSnapshot) isEffect()       {}
--- a/io/tbdaemon/daemon.go
+++ b/io/tbdaemon/daemon.go
@@ -78,6 +78,8 @@
 	folder          *tbstore.Folder
 	counters        *counters
 	traffic         *tbpeer.Traffic
+	// account is the account of the event loop since the last log line about it. Only the loop uses it.
+	account *loopAccount
 	// ready, entryControlAddress, queuedCalls, isConfirmedLeader and term are published for other goroutines
 	// after each pass of the event loop. entryControlAddress is the address of the control replica that
 	// gets the entry role's next request. The directory has the leader's address that is known from the
@@ -107,7 +109,7 @@
 		peers: tbpeer.New(settings.SourceIP, traffic), runners: tbrunnerclient.New(httpClient), backendHTTPClient: httpClient,
 		outboxes: map[string]*outbox{}, counters: newCounters(traffic), traffic: traffic,
 		entryStopped: make(chan struct{}), ctx: ctx, cancel: cancel,
-		startedAt: time.Now(), clock: newClock(), fatalErr: make(chan error, 1),
+		startedAt: time.Now(), clock: newClock(), fatalErr: make(chan error, 1), account: newLoopAccount(time.Now()),
 	}
 	d.entryControlAddress.Store("")
 	d.groupMembers.Store(settings.Control)
@@ -360,18 +362,34 @@
 			d.handle(queued)
 			d.handleQueued()
 		case <-timer.C:
-			d.perform(d.node.Tick(d.clock.Now()))
+			d.accountFor(kindTick, func() []tbnode.Effect { return d.node.Tick(d.clock.Now()) })
 		}
 		now := d.clock.Now()
-		d.perform(d.node.EndEventBatch(now))
+		d.accountFor(kindPassEnd, func() []tbnode.Effect { return d.node.EndEventBatch(now) })
 		d.publishState(now)
+		d.logAccount(time.Now())
 		timer.Reset(max(minTimerDelay, d.node.NextDue(now).Sub(now)))
 	}
 }
 
+// accountFor performs the effects that step returns, and accounts for the time as a part of the loop that
+// handles no queued event.
+func (d *Daemon) accountFor(kind string, step func() []tbnode.Effect) {
+	start := time.Now()
+	effects := step()
+	stepped := time.Now()
+	d.account.stepTime = stepped.Sub(start)
+	d.perform(effects)
+	d.account.addEvent(kind, 0, stepped.Sub(start), time.Since(stepped))
+}
+
 func (d *Daemon) handle(queued queuedEvent) {
-	d.counters.histograms.observe(latencyEvent, time.Since(queued.queuedAt))
-	d.perform(d.node.Step(d.clock.Now(), queued.event))
+	start := time.Now()
+	d.counters.histograms.observe(latencyEvent, start.Sub(queued.queuedAt))
+	effects := d.node.Step(d.clock.Now(), queued.event)
+	stepped := time.Now()
+	d.perform(effects)
+	d.account.addEvent(eventKind(queued.event), start.Sub(queued.queuedAt), stepped.Sub(start), time.Since(stepped))
 }
 
 // handleQueued handles up to maxQueuedPerPass events that are already queued, so that these events
--- a/io/tbdaemon/effects.go
+++ b/io/tbdaemon/effects.go
@@ -105,6 +105,8 @@
 		d.reply(e.Request, e)
 	case tbcontrol.SendOrder:
 		d.orders.send(e)
+	case tbcontrol.PlanMade:
+		d.account.addPlan(e)
 	case tbcontrol.Log:
 		d.logDecision(e)
 	default:
