Bound best-effort starts by what the leader observes instead of by 96

With 96 starts in the window and answers after 21 ms, 3,500 runs a second are the most there can be, and fewer the slower relays and workers answer; the wave and the burst ask for 3,300 to 4,600.

How many best-effort starts may be under way now follows a window that grows while it limits plans and shrinks once events are older than a sixth of the shortest target or answers take more than a quarter of the order timeout, at most once per answer time. Starts that are overdue by the estimate of RFC 6298 do not count, and their workers get no new tasks until they answer. Starts of other tasks are not bounded by the window. The next full plan waits for five times the time that the last one took, which replaces 200 ns for each score, and for a quarter of the window, so that a plan's fixed cost is shared by more runs.

On a leader that is far too slow best-effort work waits first. The simulation of TestShortJobsDoNotWaitForBestEffortPlans tells the planner the ages of its events, as a daemon does; its bounds are unchanged.

--- a/core/tbassign/plan.go
+++ b/core/tbassign/plan.go
@@ -10,12 +10,12 @@
 
 // Plan returns at most limit runs that should start now, in the order of planState.orderForStart.
 func Plan(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer, limit int) []tbflow.Assignment {
-	return planAll(now, s, f, l, g, limit).Runs
+	return planAll(now, s, f, l, g, planLimit{runs: limit, bestEffort: limit}).Runs
 }
 
-func planAll(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer, limit int) PlannedRuns {
+func planAll(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer, limit planLimit) PlannedRuns {
 	steps := waitingSteps(now, s, l)
-	plan := PlannedRuns{IsFull: true, Limit: limit, WaitingSteps: len(steps)}
+	plan := PlannedRuns{IsFull: true, Limit: min(limit.runs, limit.bestEffort), WaitingSteps: len(steps)}
 	if len(steps) == 0 {
 		return plan
 	}
@@ -23,20 +23,31 @@
 	state.addWorkloads()
 	state.computeSlotBudgets(steps)
 	state.orderForStart(steps)
-	plan.Runs = state.placeAll(steps, limit)
-	plan.scoredWorkers = state.candidates.scoredWorkers
+	state.placeAll(&plan, steps, limit)
 	return plan
 }
 
-func (p *planState) placeAll(steps []*waitingStep, limit int) []tbflow.Assignment {
-	var plan []tbflow.Assignment
+// placeAll adds the runs of the steps to the plan, up to its limits.
+func (p *planState) placeAll(plan *PlannedRuns, steps []*waitingStep, limit planLimit) {
+	bestEffortRuns := 0
 	for _, step := range steps {
-		if len(plan) >= limit {
-			break
+		n := limit.runs - len(plan.Runs)
+		if step.step.BestEffort && !step.step.Gang {
+			// A gang starts whole, so it could not start while the window is smaller than the gang.
+			n = min(n, limit.bestEffort-bestEffortRuns)
+		}
+		if n <= 0 {
+			plan.reachedLimit = true
+			if len(plan.Runs) >= limit.runs {
+				return
+			}
+			continue
+		}
+		runs := p.place(step, n)
+		if plan.Runs = append(plan.Runs, runs...); step.step.BestEffort {
+			bestEffortRuns += len(runs)
 		}
-		plan = append(plan, p.place(step, limit-len(plan))...)
 	}
-	return plan
 }
 
 // planState is the working state of one plan. It holds the usable workers of each class that the
--- a/core/tbassign/planner.go
+++ b/core/tbassign/planner.go
@@ -19,34 +19,51 @@
 // made at intervals and have a limited number of runs. Best-effort work loses almost nothing if it
 // starts some hundredths of a second later.
 //
-// How many runs the leader can order in a second depends on its processor, on the workers and on
-// what else the leader has to do. Unanswered starts show that: while the leader keeps up, they are
-// answered within milliseconds. The limit of a full plan is therefore the number of starts that may
-// still become unanswered. Neither the limit nor the interval depends on the size of the fleet.
+// How many best-effort starts a full plan may have follows from the start window (start_window.go). A full
+// plan has a cost that does not depend on its runs, and a long backlog makes it dearer. The next one is
+// therefore made only after several times the time that the last one took, and once there is room for a
+// considerable share of the window.
 
 // Bounds of plans. A full plan is one that considers all steps.
 const (
-	// maxRunsPerPlan is the largest number of runs of a plan of short steps.
+	// maxRunsPerPlan is the largest number of runs of a plan. All of them are ordered at once.
 	maxRunsPerPlan = 256
-	// maxUnansweredStarts is the number of unanswered starts at which the limit of a full plan is
-	// minFullPlanRuns. Workers that do not answer also leave starts unanswered, so the limit must
-	// not become 0.
-	maxUnansweredStarts = 96
-	minFullPlanRuns     = 32
 	// The next full plan is made after fullPlanInterval, or after fullPlanIntervalAtLimit if the
 	// last one has reached its limit.
 	fullPlanInterval        = 15 * time.Millisecond
 	fullPlanIntervalAtLimit = 5 * time.Millisecond
-	// A long backlog that fits nowhere makes plans costly. The interval is therefore at least
-	// fullPlanIntervalPerScore times the number of workers that the last plan has scored, so that
-	// plans take only a small share of the leader's time.
-	fullPlanIntervalPerScore = 200 * time.Nanosecond
+	// planTimeFactor is the least ratio of the interval between two full plans and the time that a plan takes.
+	planTimeFactor = 5
+	// minRoomShare is the share of the start window that has to be free for the next full plan before
+	// fullPlanInterval has passed.
+	minRoomShare = 0.25
 )
 
 // Planner makes full plans at intervals and plans of short steps in between. The first plan of the
 // zero Planner is a full plan.
 type Planner struct {
+	lastFullPlanAt time.Time
 	nextFullPlanAt time.Time
+	window         startWindow
+	// planTime is the time that the last full plan has taken.
+	planTime time.Duration
+}
+
+// Load is what the leader observed of itself since it was last told.
+type Load struct {
+	// Events is the number of events that were handled, and AgeSum the sum of the times that they were queued.
+	Events int
+	AgeSum time.Duration
+	// PlanTime is the time that the last full plan took, or 0 if it is not known.
+	PlanTime time.Duration
+}
+
+// ObserveLoad tells the planner how far the leader is behind.
+func (p *Planner) ObserveLoad(l Load) {
+	p.window.observeEvents(l.Events, l.AgeSum)
+	if l.PlanTime > 0 {
+		p.planTime = l.PlanTime
+	}
 }
 
 // NextFullPlanAt returns the time from which the next full plan may be made. It is the zero time
@@ -58,25 +75,35 @@
 	Runs []tbflow.Assignment
 	// IsFull is false for a plan of short steps.
 	IsFull bool
-	// Limit is the largest number of runs that the plan could have.
+	// Limit is the largest number of best-effort runs that the plan could have.
 	Limit int
 	// WaitingSteps is the number of steps that the plan has considered.
 	WaitingSteps int
-	// scoredWorkers is how many times a worker was scored for a step.
-	scoredWorkers int
+	// reachedLimit is true if a limit has kept the plan from more runs.
+	reachedLimit bool
+}
+
+// planLimit bounds the runs of a plan: all of them, and those of best-effort tasks.
+type planLimit struct {
+	runs       int
+	bestEffort int
 }
 
 // NextPlan returns the next plan.
 func (p *Planner) NextPlan(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer) PlannedRuns {
-	if now.Before(p.nextFullPlanAt) {
+	p.window.update(now, f.AnswerTime(), f.OrderTimeout(), shortestTarget(&s.Config))
+	room := p.window.room(f.BestEffortUnderWay(now))
+	waitsForRoom := float64(room) < minRoomShare*p.window.size && now.Sub(p.lastFullPlanAt) < fullPlanInterval
+	if now.Before(p.nextFullPlanAt) || waitsForRoom {
 		return planShortSteps(now, s, f, l, g, maxRunsPerPlan)
 	}
-	plan := planAll(now, s, f, l, g, max(minFullPlanRuns, maxUnansweredStarts-f.UnansweredStarts()))
+	plan := planAll(now, s, f, l, g, planLimit{runs: maxRunsPerPlan, bestEffort: room})
 	interval := fullPlanInterval
-	if len(plan.Runs) >= plan.Limit {
+	if plan.reachedLimit {
 		interval = fullPlanIntervalAtLimit
 	}
-	p.nextFullPlanAt = now.Add(max(interval, time.Duration(plan.scoredWorkers)*fullPlanIntervalPerScore))
+	p.window.isLimiting = p.window.isLimiting || plan.reachedLimit
+	p.lastFullPlanAt, p.nextFullPlanAt = now, now.Add(max(interval, planTimeFactor*p.planTime))
 	return plan
 }
 
@@ -89,9 +116,9 @@
 
 func planShortSteps(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer, limit int) PlannedRuns {
 	steps := shortSteps(now, s, l)
-	plan := PlannedRuns{Limit: limit, WaitingSteps: len(steps)}
+	plan := PlannedRuns{WaitingSteps: len(steps)}
 	if len(steps) > 0 {
-		plan.Runs = newPlanState(now, s, f, l, g, steps).placeAll(steps, limit)
+		newPlanState(now, s, f, l, g, steps).placeAll(&plan, steps, planLimit{runs: limit})
 	}
 	return plan
 }
--- a/core/tbassign/planner_test.go
+++ b/core/tbassign/planner_test.go
@@ -32,6 +32,8 @@
 	shortRunWaits []time.Duration
 	// bestEffortRunCount is the number of best-effort runs that were ordered.
 	bestEffortRunCount int
+	// load is the load of the events that were handled since the last plan.
+	load Load
 }
 
 type arrival struct {
@@ -88,6 +90,8 @@
 		a := r.arrivals[0]
 		r.arrivals = r.arrivals[1:]
 		r.submitJob(a.queue, a.job)
+		r.load.Events++
+		r.load.AgeSum += r.now.Sub(a.at)
 		r.readyAt[stepRef{jobID: a.job.ID}] = a.at
 	}
 	slices.SortStableFunc(r.runEnds, func(a, b runEnd) int { return a.at.Compare(b.at) })
@@ -95,6 +99,8 @@
 		e := r.runEnds[0]
 		r.runEnds = r.runEnds[1:]
 		ref := e.run.Ref
+		r.load.Events++
+		r.load.AgeSum += r.now.Sub(e.at)
 		r.commit(tbflow.RecordEnds{Worker: e.run.Worker, Incarnation: 1, Ends: []tbflow.End{{Ref: ref, Run: e.run.Run, Kind: tbflow.EndDone}}})
 		if ref.Step == 0 && r.state.Jobs[ref.Job].StepDone(0, 0) {
 			r.readyAt[stepRef{jobID: ref.Job, stepIndex: 1}] = e.at
@@ -150,6 +156,8 @@
 	r = newBurstSimulator(t)
 	var planner Planner
 	median, p95 = r.runPlans(func() ([]tbflow.Assignment, bool) {
+		planner.ObserveLoad(r.load)
+		r.load = Load{}
 		plan := planner.NextPlan(r.now, r.state, r.fleet, r.learner, r.rebalancer)
 		return plan.Runs, plan.IsFull
 	})
--- /dev/null
+++ b/core/tbassign/start_window_test.go
@@ -0,0 +1,54 @@
+package tbassign
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// windowAfter returns the window after changes under the same conditions.
+func windowAfter(changes int, age, answerTime time.Duration, isLimiting bool) float64 {
+	w := startWindow{size: 200}
+	now := time.UnixMilli(0)
+	for range changes {
+		w.observeEvents(10, 10*age)
+		w.isLimiting = isLimiting
+		w.update(now, answerTime, 400*time.Millisecond, 250*time.Millisecond)
+		now = now.Add(answerTime)
+	}
+	return w.size
+}
+
+func TestWindowGrowsWhileItLimitsAndNothingIsLate(t *testing.T) {
+	grown := windowAfter(5, time.Millisecond, 10*time.Millisecond, true)
+	qt.Check(t, grown > 3000, qt.IsTrue, qt.Commentf("%.0f", grown))
+	// Starts that take longer to be answered let the window grow less in a change, but not less far.
+	grown = windowAfter(5, time.Millisecond, 50*time.Millisecond, true)
+	qt.Check(t, grown > 1000, qt.IsTrue, qt.Commentf("%.0f", grown))
+}
+
+func TestWindowStaysWhileItDoesNotLimit(t *testing.T) {
+	qt.Check(t, windowAfter(5, time.Millisecond, 10*time.Millisecond, false), qt.Equals, 200.0)
+}
+
+func TestWindowShrinksWhileEventsOrAnswersAreLate(t *testing.T) {
+	late := windowAfter(5, 80*time.Millisecond, 10*time.Millisecond, true)
+	qt.Check(t, late < 10, qt.IsTrue, qt.Commentf("%.0f", late))
+	late = windowAfter(5, time.Millisecond, 300*time.Millisecond, true)
+	qt.Check(t, late < 10, qt.IsTrue, qt.Commentf("%.0f", late))
+	// Some starts stay under way, so that it is seen when the pressure has gone.
+	qt.Check(t, windowAfter(50, time.Second, 300*time.Millisecond, true), qt.Equals, float64(minWindow))
+}
+
+// The effect of a change shows after an answer time. Until then, late events must not shrink the window again.
+func TestWindowChangesOncePerAnswerTime(t *testing.T) {
+	w := startWindow{size: 200}
+	now := time.UnixMilli(0)
+	for range 10 {
+		w.observeEvents(10, 10*time.Second)
+		w.update(now, 50*time.Millisecond, 400*time.Millisecond, 250*time.Millisecond)
+		now = now.Add(time.Millisecond)
+	}
+	qt.Check(t, w.size, qt.Equals, 100.0)
+}
--- a/core/tbcontrol/control.go
+++ b/core/tbcontrol/control.go
@@ -162,6 +162,9 @@
 		}
 	case EventBatchEnded:
 		c.appliedInEventBatch = 0
+		if c.leader != nil {
+			c.leader.flow.planner.ObserveLoad(ev.Load)
+		}
 		c.planRuns(now)
 		c.processFleetOutput(now)
 		c.proposeWaiting(now)
--- /dev/null
+++ b/core/tbcontrol/leader_load_test.go
@@ -0,0 +1,106 @@
+package tbcontrol_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// baseRates are the mean rates of a day on 1,800 workers: 290 tasks of short jobs and 2,140 of best-effort
+// jobs a second.
+var baseRates = jobRates{short: 22.2, fill: 26.7}
+
+// timesFill returns the rates with x times the best-effort jobs.
+func (r jobRates) timesFill(x float64) jobRates { return jobRates{short: r.short, fill: r.fill * x} }
+
+// A leader's processor is a fifth slower, and a worker's answer takes 40 ms, as on a busy machine.
+const (
+	busySlowdown    = 1.2
+	busyWorkerDelay = 20 * time.Millisecond
+)
+
+// Best-effort tasks have to start within a quarter of the target of their queue, as long as the leader and the
+// workers have time for them.
+const maxFillWait = 250 * time.Millisecond
+
+// newBusySimulation returns a simulation with long-running tasks that has been under load for a second.
+func newBusySimulation(t *testing.T, workers int, slowdown float64) *loadSimulation {
+	s := newLoadSimulation(t, 1, workers, slowdown)
+	s.workerDelay = busyWorkerDelay
+	s.startLongRunning(workers * 12 / 100)
+	s.submitLoad(baseRates, time.Second)
+	s.fillWaits = nil
+	return s
+}
+
+// fillWait returns the 95th percentile of the waits of best-effort tasks.
+func (s *loadSimulation) fillWait() time.Duration {
+	slices.Sort(s.fillWaits)
+	return s.fillWaits[len(s.fillWaits)*95/100]
+}
+
+// checkLoad checks the 95th percentile of the waits of best-effort tasks and the share of the short jobs
+// submitted since a time that end within their objective.
+func (s *loadSimulation) checkLoad(t *testing.T, since time.Time, maxWait time.Duration, minShortShare float64) {
+	t.Helper()
+	until := s.now
+	s.run(4 * time.Second)
+	share, jobs := s.onTimeShare(shortQueue, since, until)
+	t.Logf("%d best-effort runs, 95th percentile of their waits %s; %.3f of %d short jobs on time", len(s.fillWaits), s.fillWait(), share, jobs)
+	qt.Check(t, s.fillWait() < maxWait, qt.IsTrue)
+	qt.Check(t, share >= minShortShare, qt.IsTrue)
+}
+
+func TestBurstOfBestEffortWorkIsNotThrottled(t *testing.T) {
+	s := newBusySimulation(t, 1800, busySlowdown)
+	since := s.now
+	s.submitLoad(baseRates.timesFill(1.7), 4*time.Second)
+	s.checkLoad(t, since, maxFillWait, 0.95)
+}
+
+func TestBurstOnThreeThousandWorkersIsNotThrottled(t *testing.T) {
+	s := newBusySimulation(t, 3000, busySlowdown)
+	since := s.now
+	s.submitLoad(baseRates.timesFill(1.7), 4*time.Second)
+	s.checkLoad(t, since, maxFillWait, 0.95)
+}
+
+// A new leader has to poll all workers while the load goes on.
+func TestBestEffortWorkIsNotThrottledAfterTakeover(t *testing.T) {
+	s := newBusySimulation(t, 1800, busySlowdown)
+	s.leader().stopped = true
+	for s.leader() == nil {
+		s.run(100 * time.Millisecond)
+	}
+	since := s.now.Add(time.Second)
+	s.submitLoad(baseRates.timesFill(1.5), 4*time.Second)
+	s.checkLoad(t, since, maxFillWait, 0.95)
+}
+
+// Starts to silent workers are not under way, and after one overdue start a worker gets no others. Short jobs
+// with a task on such a worker are late: 508 of 1,800 workers become silent at once.
+func TestBestEffortWorkIsNotThrottledBySilentWorkers(t *testing.T) {
+	s := newBusySimulation(t, 1800, busySlowdown)
+	since := s.now
+	s.silence(508, 3*time.Second)
+	s.submitLoad(baseRates.timesFill(1.5), 4*time.Second)
+	s.checkLoad(t, since, maxFillWait, 0.75)
+}
+
+func TestBestEffortWorkIsNotThrottledByLostAnswers(t *testing.T) {
+	s := newBusySimulation(t, 1800, busySlowdown)
+	since := s.now
+	s.lostAnswers = 0.05
+	s.submitLoad(baseRates.timesFill(1.6), 4*time.Second)
+	s.checkLoad(t, since, maxFillWait, 0.95)
+}
+
+// A leader whose processor is far too slow for the load keeps short jobs on time. Best-effort work waits.
+func TestBestEffortWorkWaitsFirstWhenTheLeaderIsTooSlow(t *testing.T) {
+	s := newBusySimulation(t, 1800, 2.5)
+	since := s.now
+	s.submitLoad(baseRates.timesFill(1.7), 4*time.Second)
+	s.checkLoad(t, since, time.Hour, 0.95)
+}
--- a/core/tbcontrol/types.go
+++ b/core/tbcontrol/types.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"tamarackbarrow/core/tbassign"
 	"tamarackbarrow/core/tbbundle"
 	"tamarackbarrow/core/tbconsensus"
 	"tamarackbarrow/core/tbfleet"
@@ -134,8 +135,8 @@
 )
 
 // EventBatchEnded reports that no more events are queued. Step then plans runs of multi-step jobs and
-// proposes waiting commands.
-type EventBatchEnded struct{}
+// proposes waiting commands. Load is what the caller observed since the last EventBatchEnded.
+type EventBatchEnded struct{ Load tbassign.Load }
 
 // DeliveryFailed reports that log entries or parts of a snapshot may not have reached a replica.
 type DeliveryFailed struct{ To tbconsensus.ReplicaID }
@@ -245,13 +246,15 @@
 type PlanMade struct {
 	// IsFull is false for a plan of short steps only.
 	IsFull bool
-	// Runs is the number of runs of the plan, and Limit the largest number that it could have.
+	// Runs is the number of runs of the plan, and Limit the largest number of best-effort ones that it could have.
 	Runs  int
 	Limit int
 	// WaitingSteps is the number of steps that the plan has considered.
 	WaitingSteps int
-	// UnansweredStarts is the number of unanswered starts when the plan was made.
-	UnansweredStarts int
+	// UnderWay is the number of best-effort starts that were neither answered nor overdue when the plan was made,
+	// and AnswerTime the usual time until a start is answered.
+	UnderWay   int
+	AnswerTime time.Duration
 }
 
 func (PlanMade) isEffect()           {}
--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -31,9 +31,13 @@
 	pollPermits map[incarnationKey]bool
 	// lastPermitIndex is the index in sortedWorkers of the worker that last got a released permit.
 	lastPermitIndex int
-	// unansweredStarts is the number of starts whose results have not arrived.
-	unansweredStarts int
-	output           Output
+	// answers estimates how long starts take to be answered.
+	answers answerTimes
+	// bestEffortStarts holds the runs of best-effort tasks in the order of their starts, from the oldest one that
+	// may be under way. bestEffortUnderWay is the number of those that are.
+	bestEffortStarts   []*Run
+	bestEffortUnderWay int
+	output             Output
 }
 
 // Worker is the leader's view of one incarnation of a worker.
@@ -110,6 +114,10 @@
 	// disconnectedAt is when the worker first closed a connection since it last answered a poll, or zero. If
 	// the worker has crashed, it did so then.
 	disconnectedAt time.Time
+	// unansweredStarts is the number of starts without a result. unansweredSince is the earliest time from which
+	// the worker may have left one unanswered.
+	unansweredStarts int
+	unansweredSince  time.Time
 	// lostRuns are the runs that were given up in silence, as long as this incarnation stays silent.
 	lostRuns []tbflow.CrashedRun
 	runs     map[tbflow.TaskRef]*Run
@@ -173,6 +181,8 @@
 	// observedUntil is the time until which the worker is closed to other tasks because of this run, or
 	// zero.
 	observedUntil time.Time
+	// isUnderWay is true for a best-effort run whose start is neither answered nor overdue.
+	isUnderWay bool
 	// stopRequested is true once the run is to be stopped.
 	stopRequested bool
 	// stopSentAt is when the stop was last ordered.
@@ -331,10 +341,6 @@
 	return all
 }
 
-// UnansweredStarts returns the number of starts that were ordered and have neither been answered nor
-// timed out.
-func (f *Fleet) UnansweredStarts() int { return f.unansweredStarts }
-
 // Size returns the number of workers in the fleet, including those that are not registered.
 func (f *Fleet) Size() int { return len(f.sortedWorkers) }
 
@@ -376,7 +382,7 @@
 func (f *Fleet) Usable(w *Worker, now time.Time) bool {
 	return w.registered && !w.Draining && !w.Unresponsive && !w.needsFence && w.lastClockReading.isKnown() &&
 		w.unackedEndCount < maxUnackedEnds && now.Sub(w.LastHeardAt) < f.params.SilenceTimeout && !now.Before(w.AvoidUntil) &&
-		!now.Before(w.ObservedUntil)
+		!now.Before(w.ObservedUntil) && !f.hasOverdueStart(w, now)
 }
 
 // EachRun calls visit for each run of the worker, in no particular order.
--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -57,7 +57,7 @@
 	}
 	w.fenceOffAck()
 	f.observe(now, now, w, run, s.Crashes[a.Ref])
-	f.unansweredStarts++
+	f.trackStart(now, w, run, j.Steps[a.Ref.Step].BestEffort)
 	f.addOrder(Start{
 		Target: f.newTarget(w), Ref: a.Ref, Run: a.Run, Spec: j.Spec, Checkpoint: t.Checkpoint,
 		LeaseEndMs: f.renewLease(now, w), Timeout: f.params.OrderTimeout,
@@ -87,12 +87,18 @@
 
 // HandleStartAnswered handles the result of a Start.
 func (f *Fleet) HandleStartAnswered(now time.Time, a StartAnswered) {
-	f.unansweredStarts = max(0, f.unansweredStarts-1)
 	w := f.workers[a.Worker]
-	if w == nil || w.runs[a.Ref] == nil || w.runs[a.Ref].Number != a.Run {
+	if w == nil {
 		return
 	}
 	run := w.runs[a.Ref]
+	if run != nil && run.Number != a.Run {
+		run = nil
+	}
+	f.trackAnswer(now, w, run, a)
+	if run == nil {
+		return
+	}
 	if run.Phase == RunEnding {
 		return
 	}
--- a/core/tbnode/node.go
+++ b/core/tbnode/node.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"tamarackbarrow/core/tbassign"
 	"tamarackbarrow/core/tbcontrol"
 	"tamarackbarrow/core/tbentry"
 )
@@ -75,10 +76,11 @@
 	return due
 }
 
-// EndEventBatch tells all roles that no further events are queued.
-func (n *Node) EndEventBatch(now time.Time) []Effect {
+// EndEventBatch tells all roles that no further events are queued. The load is what the caller observed since
+// the last call.
+func (n *Node) EndEventBatch(now time.Time, load tbassign.Load) []Effect {
 	return append(
 		n.Step(now, Event{Entry: tbentry.EventBatchEnded{}}),
-		n.Step(now, Event{Control: tbcontrol.EventBatchEnded{}})...,
+		n.Step(now, Event{Control: tbcontrol.EventBatchEnded{Load: load}})...,
 	)
 }
--- a/core/tbnode/simulated_node_test.go
+++ b/core/tbnode/simulated_node_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"tamarackbarrow/core/tbassign"
 	"tamarackbarrow/core/tbconsensus"
 	"tamarackbarrow/core/tbcontrol"
 	"tamarackbarrow/core/tbentry"
@@ -76,7 +77,7 @@
 		return
 	}
 	n.performEffects(n.node.Tick(n.sim.now))
-	n.performEffects(n.node.EndEventBatch(n.sim.now))
+	n.performEffects(n.node.EndEventBatch(n.sim.now, tbassign.Load{}))
 	n.sim.schedule(10*time.Millisecond, func() { n.tick(incarnation) })
 }
 
@@ -86,7 +87,7 @@
 		return
 	}
 	n.performEffects(n.node.Step(n.sim.now, ev))
-	n.performEffects(n.node.EndEventBatch(n.sim.now))
+	n.performEffects(n.node.EndEventBatch(n.sim.now, tbassign.Load{}))
 }
 
 // request sends the node a request and calls onReply with the reply. If the node ends before it
--- a/io/tbdaemon/daemon.go
+++ b/io/tbdaemon/daemon.go
@@ -365,7 +365,7 @@
 			d.accountFor(kindTick, func() []tbnode.Effect { return d.node.Tick(d.clock.Now()) })
 		}
 		now := d.clock.Now()
-		d.accountFor(kindPassEnd, func() []tbnode.Effect { return d.node.EndEventBatch(now) })
+		d.accountFor(kindPassEnd, func() []tbnode.Effect { return d.node.EndEventBatch(now, d.account.takeLoad()) })
 		d.publishState(now)
 		d.logAccount(time.Now())
 		timer.Reset(max(minTimerDelay, d.node.NextDue(now).Sub(now)))
--- a/io/tbdaemon/loop_account.go
+++ b/io/tbdaemon/loop_account.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"tamarackbarrow/core/tbassign"
 	"tamarackbarrow/core/tbcontrol"
 	"tamarackbarrow/core/tbnode"
 )
@@ -28,6 +29,8 @@
 	// plans describes the plans of the leader. stepTime is the duration of the step that is being performed.
 	plans    []string
 	stepTime time.Duration
+	// load is the load since the last pass of the loop.
+	load tbassign.Load
 }
 
 // kindAccount is the account of one kind of event. The step decides what follows from an event, and the
@@ -57,15 +60,27 @@
 	k.maxTime = max(k.maxTime, stepTime+effectTime)
 	k.ageSum += age
 	k.maxAge = max(k.maxAge, age)
+	if kind != kindTick && kind != kindPassEnd {
+		a.load.Events++
+		a.load.AgeSum += age
+	}
+}
+
+// takeLoad returns the load since the last call.
+func (a *loopAccount) takeLoad() tbassign.Load {
+	load := a.load
+	a.load = tbassign.Load{}
+	return load
 }
 
 func (a *loopAccount) addPlan(p tbcontrol.PlanMade) {
 	kind := "short"
 	if p.IsFull {
 		kind = "full"
+		a.load.PlanTime = a.stepTime
 	}
-	a.plans = append(a.plans, fmt.Sprintf("%s runs=%d limit=%d steps=%d unanswered=%d us=%d",
-		kind, p.Runs, p.Limit, p.WaitingSteps, p.UnansweredStarts, a.stepTime.Microseconds()))
+	a.plans = append(a.plans, fmt.Sprintf("%s runs=%d limit=%d steps=%d underWay=%d answerUs=%d us=%d",
+		kind, p.Runs, p.Limit, p.WaitingSteps, p.UnderWay, p.AnswerTime.Microseconds(), a.stepTime.Microseconds()))
 }
 
 // kinds describes the kinds of event, the one that took the most time first.
@@ -102,7 +117,9 @@
 		d.log.Info("event loop", "ms", now.Sub(a.since).Milliseconds(), "busyMs", a.busyTime().Milliseconds(), "queued", len(d.events),
 			"kinds", a.kinds(), "plans", a.plans)
 	}
+	load := a.load
 	d.account = newLoopAccount(now)
+	d.account.load = load
 }
 
 // eventKind returns the name of the kind of an event.
