Do not answer a request with the outcome of another leader's entry

A deposed leader that learns of a later term and of a commit in one message applied the other leader's entry while its own batch was still in flight at the same index. It then answered the requests of that batch with the outcomes of the other entry, so that a caller could be told of a change that was lost, or the replica ended with an index out of range. The batches in flight now carry their term. Usually the first entry of the new term had this index, and it holds no commands; the case needs a membership change before it.

--- a/core/tbcontrol/control.go
+++ b/core/tbcontrol/control.go
@@ -47,9 +47,10 @@
 	encoded      []byte
 }
 
-// inFlightBatch is a proposed log entry that is not applied yet.
+// inFlightBatch is a log entry of this leader that is not applied yet.
 type inFlightBatch struct {
 	index     uint64
+	term      uint64
 	proposals []proposal
 }
 
@@ -286,11 +287,17 @@
 	if c.leader != nil {
 		c.leader.handleApplied(c, now, batch)
 	}
-	c.answerProposals(e.Index, outcomes)
+	c.answerProposals(e, outcomes)
 }
 
-func (c *Control) answerProposals(index uint64, outcomes []tbstate.Outcome) {
-	if len(c.inFlightBatches) == 0 || c.inFlightBatches[0].index != index {
+// isOldestInFlight reports whether an entry is the oldest batch in flight. After a change of leader, another
+// entry may have the index of that batch.
+func (c *Control) isOldestInFlight(e tbconsensus.Entry) bool {
+	return len(c.inFlightBatches) > 0 && c.inFlightBatches[0].index == e.Index && c.inFlightBatches[0].term == e.Term
+}
+
+func (c *Control) answerProposals(e tbconsensus.Entry, outcomes []tbstate.Outcome) {
+	if !c.isOldestInFlight(e) {
 		return
 	}
 	batch := c.inFlightBatches[0]
@@ -390,7 +397,7 @@
 			c.waitingProposals = waiting
 			return
 		}
-		c.inFlightBatches = append(c.inFlightBatches, inFlightBatch{index: index, proposals: proposals})
+		c.inFlightBatches = append(c.inFlightBatches, inFlightBatch{index: index, term: c.replica.Term(), proposals: proposals})
 	}
 }
 
