Make long backlogs of best-effort steps cheaper to plan and to admit

Being behind made plans dearer: choosing the largest of the selected jobs again and again was quadratic in the steps of an image, and sorting copied each step for each comparison. The selection is a heap now, with the same choice, and steps are compared in place. Decisions are unchanged (TestPlanMatchesReference).

--- a/core/tbassign/admit.go
+++ b/core/tbassign/admit.go
@@ -29,11 +29,12 @@
 func Admit(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, q *tbflow.Queue, job *tbflow.Job) (bool, time.Duration) {
 	bestEffort := job.Steps[0].BestEffort
 	processors := 0.0
-	for _, w := range f.Workers() {
+	for i := range f.Size() {
+		w := f.WorkerAt(i)
 		// Some workers cannot be used at the moment: a new leader has not heard from them yet, or
 		// they are avoided for a short time. They are included because they will help to drain the
 		// backlog.
-		if w.Class == q.WorkerClass && !w.Draining && !w.Unresponsive {
+		if w != nil && w.Class == q.WorkerClass && !w.Draining && !w.Unresponsive {
 			processors += float64(w.Capacity.MilliProcessors) / 1000
 		}
 	}
@@ -65,7 +66,7 @@
 		for k := range j.Tasks {
 			for i := range j.Steps {
 				step := &j.Steps[i]
-				if step.LongRunning || step.BestEffort != bestEffort || !j.IsDue(k, now) {
+				if step.LongRunning || step.BestEffort != bestEffort || j.WaitingTasks(k, i) == 0 || !j.IsDue(k, now) {
 					continue
 				}
 				sum += sumWaitingWork(j, l, k, i)
--- a/core/tbassign/overload.go
+++ b/core/tbassign/overload.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"slices"
 )
 
@@ -35,27 +36,50 @@
 	for key, stepsOfImage := range byImage {
 		workPerSecond := max(1, effectiveProcessorShare*capacity(key))
 		slices.SortStableFunc(stepsOfImage, func(a, b *waitingStep) int { return cmp.Compare(a.latestStartMs, b.latestStartMs) })
-		var selectedSteps []*waitingStep
+		var selected stepsByWork
 		selectedWork := 0.0
-		for _, w := range stepsOfImage {
-			selectedSteps = append(selectedSteps, w)
+		for i, w := range stepsOfImage {
+			heap.Push(&selected, stepWithIndex{w, i})
 			selectedWork += w.occurrenceWork
 			// Rounding may leave some work although no step is selected.
-			for len(selectedSteps) > 0 && selectedWork/workPerSecond*1000 > float64(w.deadlineMs-nowMs) {
-				largestIndex := 0
-				for i := range selectedSteps {
-					if selectedSteps[i].occurrenceWork > selectedSteps[largestIndex].occurrenceWork {
-						largestIndex = i
-					}
-				}
-				selectedSteps[largestIndex].postponed = true
-				selectedWork -= selectedSteps[largestIndex].occurrenceWork
-				selectedSteps = slices.Delete(selectedSteps, largestIndex, largestIndex+1)
+			for len(selected) > 0 && selectedWork/workPerSecond*1000 > float64(w.deadlineMs-nowMs) {
+				largest := heap.Pop(&selected).(stepWithIndex)
+				largest.postponed = true
+				selectedWork -= largest.occurrenceWork
 			}
 		}
 	}
 }
 
+// stepsByWork is a heap of steps with the one with the most work first. Of steps with as much work, the one that
+// has to start first is the first.
+type stepsByWork []stepWithIndex
+
+type stepWithIndex struct {
+	*waitingStep
+	index int
+}
+
+func (h stepsByWork) Len() int { return len(h) }
+func (h stepsByWork) Less(i, j int) bool {
+	if h[i].occurrenceWork != h[j].occurrenceWork {
+		return h[i].occurrenceWork > h[j].occurrenceWork
+	}
+	return h[i].index < h[j].index
+}
+func (h stepsByWork) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *stepsByWork) Push(x any) { *h = append(*h, x.(stepWithIndex)) }
+
+// Pop implements heap.Interface.
+func (h *stepsByWork) Pop() any {
+	last := len(*h) - 1
+	x := (*h)[last]
+	*h = (*h)[:last]
+	return x
+}
+
 // bestEffortCapacity returns the processors that best-effort work of an image can use. They are the
 // sum of two parts: what the assigned tasks of the image request, and what is unused on the workers
 // where the image is harmless. The sum over the considered workers is scaled to the whole fleet.
--- a/core/tbassign/overload_test.go
+++ b/core/tbassign/overload_test.go
@@ -67,7 +67,7 @@
 		markPostponed(nowMs, pointersTo(w), func(classImage) float64 { return rate / effectiveProcessorShare })
 		best := 0
 		for i := range w {
-			if compareWaiting(w[i], w[best]) < 0 {
+			if compareWaiting(&w[i], &w[best]) < 0 {
 				best = i
 			}
 		}
--- a/core/tbassign/planner.go
+++ b/core/tbassign/planner.go
@@ -168,7 +168,7 @@
 	}
 	cutoff = min(cutoff, longRunningCutoff(now, s, lowestPriority))
 	steps = slices.DeleteFunc(steps, func(w *waitingStep) bool { return w.job.Priority >= cutoff })
-	slices.SortStableFunc(steps, func(a, b *waitingStep) int { return compareWaiting(*a, *b) })
+	slices.SortStableFunc(steps, compareWaiting)
 	return steps
 }
 
--- a/core/tbassign/reference_test.go
+++ b/core/tbassign/reference_test.go
@@ -431,7 +431,7 @@
 		}
 	}
 	markPostponed(s.TimeAt(p.now), pointersTo(all), p.bestEffortCapacity)
-	slices.SortStableFunc(all, compareWaiting)
+	slices.SortStableFunc(all, func(a, b waitingStep) int { return compareWaiting(&a, &b) })
 	return all
 }
 
--- a/core/tbassign/waiting.go
+++ b/core/tbassign/waiting.go
@@ -101,7 +101,7 @@
 			w.imageIndex = p.images.internBestEffort(w.step.Image)
 		}
 	}
-	slices.SortStableFunc(all, func(a, b *waitingStep) int { return compareWaiting(*a, *b) })
+	slices.SortStableFunc(all, compareWaiting)
 }
 
 func waitingStepsOf(now time.Time, s *tbflow.State, l *Learner, j *tbflow.Job, k int) []*waitingStep {
@@ -195,7 +195,7 @@
 	return workPerTask * float64(j.WaitingTasks(k, i))
 }
 
-func compareWaiting(a, b waitingStep) int {
+func compareWaiting(a, b *waitingStep) int {
 	if c := cmp.Compare(rank(a), rank(b)); c != 0 {
 		return c
 	}
@@ -225,7 +225,7 @@
 // it loses one of many seconds, so short jobs go first. However, a long-running task needs more
 // free capacity at once. If overdue steps had no rank of their own, a steady stream of short jobs
 // would always take the free capacity first.
-func rank(w waitingStep) int {
+func rank(w *waitingStep) int {
 	value := ranksPerPriority * w.job.Priority
 	switch {
 	case w.hasOverdueTask:
