Announce a commit by heartbeats only if no entries are in flight

Each commit sent heartbeats to all replicas at once, which answered them: eight messages for each of about 200 commits a second, beside the eight of the entries themselves. While further entries are in flight, their own commit does that for both. Otherwise the commit is announced as before.

--- a/core/tbconsensus/replication.go
+++ b/core/tbconsensus/replication.go
@@ -317,6 +317,9 @@
 		return
 	}
 	r.setCommit(index)
-	// Heartbeats carry the new commit index to the followers without delay.
-	r.sendHeartbeats(now)
+	if index == r.log.lastIndex() {
+		// Heartbeats carry the new commit index to the followers without delay. While further entries are in
+		// flight, their commit follows soon and does that for both.
+		r.sendHeartbeats(now)
+	}
 }
