Do not decode the run changes that the leader has proposed itself

A leader decoded each of its own entries when it was committed. It now keeps the assignments and ends of runs, which are most of them; other commands are still decoded, so that all replicas apply what the codec makes of them.

--- a/core/tbcontrol/control.go
+++ b/core/tbcontrol/control.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tamarackbarrow/core/tbconsensus"
+	"tamarackbarrow/core/tbflow"
 	"tamarackbarrow/core/tbstate"
 )
 
@@ -45,12 +46,16 @@
 	request      uint64
 	commandCount int
 	encoded      []byte
+	// runChanges holds the commands if all of them are assignments and ends of runs, which the leader itself has
+	// made. Otherwise it is nil.
+	runChanges []tbstate.Command
 }
 
-// inFlightBatch is a log entry of this leader that is not applied yet.
+// inFlightBatch is a log entry of this leader that is not applied yet. nowMs is the time of its batch.
 type inFlightBatch struct {
 	index     uint64
 	term      uint64
+	nowMs     int64
 	proposals []proposal
 }
 
@@ -276,10 +281,7 @@
 	if e.Kind != tbconsensus.EntryData {
 		return
 	}
-	batch, err := c.codec.DecodeBatch(e.Data)
-	if err != nil {
-		panic(fmt.Sprintf("decode committed log entry %d: %v", e.Index, err))
-	}
+	batch := c.batchOf(e)
 	outcomes := c.state.Apply(e.Index, batch)
 	if shouldLog && c.replica.Role() == tbconsensus.Leader {
 		c.logDecisions(now, batch)
@@ -296,6 +298,48 @@
 	return len(c.inFlightBatches) > 0 && c.inFlightBatches[0].index == e.Index && c.inFlightBatches[0].term == e.Term
 }
 
+// batchOf returns the batch of a committed entry. Most commands of a busy leader are assignments and ends of
+// runs, which it need not decode again.
+func (c *Control) batchOf(e tbconsensus.Entry) tbstate.Batch {
+	if !c.isOldestInFlight(e) {
+		return c.decodeBatch(e.Index, e.Data)
+	}
+	inFlight := c.inFlightBatches[0]
+	batch := tbstate.Batch{NowMs: inFlight.nowMs}
+	for _, p := range inFlight.proposals {
+		commands := p.runChanges
+		if commands == nil {
+			commands = c.decodeBatch(e.Index, c.codec.JoinBatch(inFlight.nowMs, [][]byte{p.encoded})).Commands
+		}
+		batch.Commands = append(batch.Commands, commands...)
+	}
+	return batch
+}
+
+func (c *Control) decodeBatch(index uint64, data []byte) tbstate.Batch {
+	batch, err := c.codec.DecodeBatch(data)
+	if err != nil {
+		panic(fmt.Sprintf("decode committed log entry %d: %v", index, err))
+	}
+	return batch
+}
+
+// runChangesIn returns the commands if all of them are assignments or ends of runs, and nil otherwise.
+func runChangesIn(commands []tbstate.Command) []tbstate.Command {
+	for _, command := range commands {
+		change, ok := command.(tbstate.FlowChange)
+		if !ok {
+			return nil
+		}
+		switch change.Command.(type) {
+		case tbflow.Assign, tbflow.RecordEnds:
+		default:
+			return nil
+		}
+	}
+	return commands
+}
+
 func (c *Control) answerProposals(e tbconsensus.Entry, outcomes []tbstate.Outcome) {
 	if !c.isOldestInFlight(e) {
 		return
@@ -360,7 +404,7 @@
 		return false
 	}
 	c.pendingBytes += len(encoded)
-	c.waitingProposals = append(c.waitingProposals, proposal{request: request, commandCount: len(commands), encoded: encoded})
+	c.waitingProposals = append(c.waitingProposals, proposal{request: request, commandCount: len(commands), encoded: encoded, runChanges: runChangesIn(commands)})
 	return true
 }
 
@@ -392,12 +436,13 @@
 		for i, p := range proposals {
 			parts[i] = p.encoded
 		}
-		index, ok := c.replica.Propose(now, [][]byte{c.codec.JoinBatch(c.state.TimeAt(now), parts)})
+		nowMs := c.state.TimeAt(now)
+		index, ok := c.replica.Propose(now, [][]byte{c.codec.JoinBatch(nowMs, parts)})
 		if !ok {
 			c.waitingProposals = waiting
 			return
 		}
-		c.inFlightBatches = append(c.inFlightBatches, inFlightBatch{index: index, term: c.replica.Term(), proposals: proposals})
+		c.inFlightBatches = append(c.inFlightBatches, inFlightBatch{index: index, term: c.replica.Term(), nowMs: nowMs, proposals: proposals})
 	}
 }
 
