Pass over workers in a tick for which nothing is due

A worker that answers, has a poll in flight and no order to resend is passed over now; the answer of the poll checks it. Orders that may have to be resent keep their times.

--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -105,6 +105,9 @@
 	ackInFlight bool
 	// pollSuperseded is true once the serial is higher than that of the poll in flight.
 	pollSuperseded bool
+	// nextResendAt is the earliest time at which an order to the worker other than a poll may have to be sent, as
+	// long as the worker answers. Each tick before it passes the worker over while a poll is in flight.
+	nextResendAt time.Time
 	// watchedUntil is when no settled start can be executed late any more. Until then the worker is polled
 	// although it has no runs, so that its restart is noticed at once (see watchForLateStart).
 	watchedUntil time.Time
--- a/core/tbfleet/poll.go
+++ b/core/tbfleet/poll.go
@@ -10,6 +10,10 @@
 // lost workers.
 func (f *Fleet) Tick(now time.Time) {
 	for _, w := range f.sortedWorkers {
+		if w.registered && !w.Unresponsive && w.pollInFlight && now.Before(w.nextResendAt) {
+			// Nothing is due before the poll is answered.
+			continue
+		}
 		f.reconcile(now, w)
 	}
 	f.removeSilent(now)
@@ -27,17 +31,22 @@
 	if !w.registered {
 		return
 	}
+	w.nextResendAt = now.Add(maxResendPause)
 	for ref, run := range w.runs {
 		f.reconcileRun(now, w, ref, run)
 	}
 	f.pollIfDue(now, w)
 }
 
+// maxResendPause is the longest time between two checks of the runs of a worker that answers.
+const maxResendPause = time.Second
+
 func (f *Fleet) reconcileRun(now time.Time, w *Worker, ref tbflow.TaskRef, run *Run) {
 	f.reconcileSpeed(now, w, ref, run)
 	if !run.stopRequested || run.Phase == RunEnding || run.Phase == RunOrdered {
 		return
 	}
+	w.nextResendAt = now
 	if !run.stopSentAt.IsZero() && now.Sub(run.stopSentAt) < stopResendPause {
 		return
 	}
--- a/core/tbfleet/speed.go
+++ b/core/tbfleet/speed.go
@@ -33,6 +33,7 @@
 
 func (f *Fleet) sendSpeed(now time.Time, w *Worker, ref tbflow.TaskRef, run *Run) {
 	run.speedSentAt, run.speedUnconfirmed = now, true
+	w.nextResendAt = now
 	f.addOrder(SetSpeed{Target: f.newTarget(w), Ref: ref, Run: run.Number, Percent: run.Speed, Timeout: f.params.OrderTimeout})
 }
 
@@ -40,7 +41,11 @@
 // unanswered order of another speed may still be executed, because that order would override the
 // ordered speed.
 func (f *Fleet) reconcileSpeed(now time.Time, w *Worker, ref tbflow.TaskRef, run *Run) {
-	if run.Phase != RunExecuting || !run.speedUnconfirmed && len(run.unansweredSpeeds) == 0 || now.Sub(run.speedSentAt) < speedResendPause {
+	if run.Phase != RunExecuting || !run.speedUnconfirmed && len(run.unansweredSpeeds) == 0 {
+		return
+	}
+	w.nextResendAt = now
+	if now.Sub(run.speedSentAt) < speedResendPause {
 		return
 	}
 	run.unansweredSpeeds = slices.DeleteFunc(run.unansweredSpeeds, func(p unansweredSpeed) bool { return !now.Before(p.executableUntil) })
@@ -64,6 +69,7 @@
 		f.output.LogEvents = append(f.output.LogEvents, LogEvent{
 			Message: "pace not answered", Worker: w.ID, Ref: a.Ref, Run: a.Run, Inputs: []any{"percent", a.Percent, "ordered", run.Speed},
 		})
+		w.nextResendAt = now
 		run.unansweredSpeeds = append(run.unansweredSpeeds, unansweredSpeed{percent: a.Percent, executableUntil: now.Add(f.params.MaxOrderDelay)})
 	}
 }
