Decide what a leader gives up first when its events wait

Nothing said so: whatever came last in the queue waited, accepted jobs included. When events are older than half of what shrinks the start window, the leader now puts off moves of long-running tasks, leaves the speeds of tasks that have just started to the next poll, and lets polls of workers where nothing happens stay open twice as long, if that fits into the lease several times. Only then does the window let best-effort starts wait.

--- a/core/tbassign/planner.go
+++ b/core/tbassign/planner.go
@@ -89,6 +89,9 @@
 	bestEffort int
 }
 
+// IsLate reports whether the leader has to save work, because its events wait.
+func (p *Planner) IsLate() bool { return p.window.isLate }
+
 // NextPlan returns the next plan.
 func (p *Planner) NextPlan(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer) PlannedRuns {
 	p.window.update(now, f.AnswerTime(), f.OrderTimeout(), shortestTarget(&s.Config))
--- a/core/tbassign/start_window.go
+++ b/core/tbassign/start_window.go
@@ -28,6 +28,9 @@
 	maxDecrease = 0.5
 	// defaultTarget is the target while no queue has one.
 	defaultTarget = time.Second
+	// latePressure is the pressure of old events from which the leader is late. It saves work from then on, so
+	// that best-effort starts need not wait yet.
+	latePressure = 0.5
 )
 
 // startWindow is the number of best-effort starts that may be under way. Starts of other tasks are not
@@ -39,6 +42,8 @@
 	// ageSum is the sum of the ages of the events since the last change.
 	ageSum time.Duration
 	events int
+	// isLate is true if the events before the last change were so old that the leader has to save work.
+	isLate bool
 	// isLimiting is true if a plan since the last change has reached the limit that follows from the window.
 	isLimiting bool
 }
@@ -58,10 +63,13 @@
 		return
 	}
 	pressure := float64(answerTime*answerTimeShare) / float64(orderTimeout)
+	agePressure := 0.0
 	if w.events > 0 {
 		age := w.ageSum / time.Duration(w.events)
-		pressure = max(pressure, float64(age*eventAgeShare)/float64(target))
+		agePressure = float64(age*eventAgeShare) / float64(target)
 	}
+	w.isLate = agePressure > latePressure
+	pressure = max(pressure, agePressure)
 	switch {
 	case pressure > 1:
 		w.size = max(minWindow, w.size*max(maxDecrease, 1/pressure))
--- a/core/tbcontrol/flow.go
+++ b/core/tbcontrol/flow.go
@@ -269,9 +269,15 @@
 	l := c.leader.flow
 	if !now.Before(l.nextTickAt) {
 		l.nextTickAt = now.Add(flowTickInterval)
+		// A leader whose events wait gives up what serves no accepted job first: moves, which cost the most at a
+		// time, the speeds of tasks that have just started, and polls that only confirm that a worker is well. Only
+		// then do best-effort starts wait (see tbassign.Planner).
+		l.fleet.SavePolls(l.planner.IsLate())
 		l.fleet.Tick(now)
 		l.stopUnfinishableRuns(c, now)
-		l.moveLongRunningTasks(c, now)
+		if !l.planner.IsLate() {
+			l.moveLongRunningTasks(c, now)
+		}
 		l.groupManager.reconcileMembership(c, now)
 		l.recordInterference(c, now)
 		l.needsPlan = true
@@ -383,9 +389,10 @@
 }
 
 // setBestEffortSpeedAtStart slows down a best-effort task that has just started, if the long-running tasks on
-// the worker require that. Without this, the best-effort task would run at full speed until the next poll.
+// the worker require that. Without this, the best-effort task would run at full speed until the next poll, as
+// it does while the leader is late.
 func (l *flowLeaderState) setBestEffortSpeedAtStart(c *Control, now time.Time, a tbfleet.StartAnswered) {
-	if step := c.state.Flow.StepOf(a.Ref); step == nil || !step.BestEffort {
+	if step := c.state.Flow.StepOf(a.Ref); step == nil || !step.BestEffort || l.planner.IsLate() {
 		return
 	}
 	if w := l.fleet.Worker(a.Worker); w != nil {
--- a/core/tbcontrol/leader_load_test.go
+++ b/core/tbcontrol/leader_load_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"tamarackbarrow/core/tbcontrol"
+	"tamarackbarrow/core/tbfleet"
 )
 
 // baseRates are the mean rates of a day on 1,800 workers: 290 tasks of short jobs and 2,140 of best-effort
@@ -104,3 +107,43 @@
 	s.submitLoad(baseRates.timesFill(1.7), 4*time.Second)
 	s.checkLoad(t, since, time.Hour, 0.95)
 }
+
+// savingsObserver counts what a leader saves when its events wait.
+type savingsObserver struct{ polls, longPolls, planned int }
+
+func (o *savingsObserver) step(r *loadReplica, now time.Time, ev tbcontrol.Event) []tbcontrol.Effect {
+	effects := r.control.Step(now, ev)
+	for _, e := range effects {
+		switch e := e.(type) {
+		case tbcontrol.SendOrder:
+			if poll, ok := e.Order.(tbfleet.Poll); ok {
+				o.polls++
+				if poll.Wait > loadPollWait {
+					o.longPolls++
+				}
+			}
+		case tbcontrol.PlanMade:
+			o.planned += e.Runs
+		}
+	}
+	return effects
+}
+
+// On a leader whose events wait, polls of workers that are well are the first to become fewer. A leader with
+// time left saves nothing.
+func TestLeaderWhoseEventsWaitSavesPollsFirst(t *testing.T) {
+	for _, test := range []struct {
+		slowdown float64
+		saves    bool
+	}{{busySlowdown, false}, {3, true}} {
+		s := newBusySimulation(t, 1800, test.slowdown)
+		o := &savingsObserver{}
+		s.observe = o
+		s.submitLoad(baseRates.timesFill(1.7), 3*time.Second)
+		t.Logf("slowdown %.1f: %d polls, %d of them longer, %d runs planned", test.slowdown, o.polls, o.longPolls, o.planned)
+		qt.Check(t, o.longPolls > 0, qt.Equals, test.saves)
+		if test.saves {
+			qt.Check(t, o.longPolls > o.polls/4, qt.IsTrue)
+		}
+	}
+}
--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -31,6 +31,8 @@
 	pollPermits map[incarnationKey]bool
 	// lastPermitIndex is the index in sortedWorkers of the worker that last got a released permit.
 	lastPermitIndex int
+	// savesPolls is set by SavePolls.
+	savesPolls bool
 	// answers estimates how long starts take to be answered.
 	answers answerTimes
 	// bestEffortStarts holds the runs of best-effort tasks in the order of their starts, from the oldest one that
--- a/core/tbfleet/poll.go
+++ b/core/tbfleet/poll.go
@@ -72,13 +72,29 @@
 		poll.LeaseEndMs = f.renewLease(now, w)
 	}
 	if (len(w.runs) > 0 || now.Before(w.watchedUntil)) && mayWait {
-		poll.Wait = f.params.PollWait
+		poll.Wait = f.pollWait()
 		poll.Timeout += poll.Wait
 	}
 	w.pollInFlight, w.pollSuperseded = true, false
 	f.addOrder(poll)
 }
 
+// SavePolls makes polls stay open for longer while nothing happens at their workers, or ends that.
+func (f *Fleet) SavePolls(saves bool) { f.savesPolls = saves }
+
+// savedPollFactor is the factor by which polls stay open for longer while the fleet saves polls.
+const savedPollFactor = 2
+
+// pollWait returns how long a worker holds a poll open. Polls renew the lease, so several of them have to fit
+// into it.
+func (f *Fleet) pollWait() time.Duration {
+	wait := f.params.PollWait
+	if longer := savedPollFactor * wait; f.savesPolls && 2*longer <= f.params.Lease {
+		return longer
+	}
+	return wait
+}
+
 // hasUnconfirmedStart reports whether the worker may still execute a start that no answer has
 // confirmed.
 func (w *Worker) hasUnconfirmedStart() bool {
