Keep memory for short tasks from best-effort ones

A best-effort task uses processors that others leave unused, and gives them back at once, but its memory stays occupied. Workers with the most unused processors are those with room for short tasks, so a burst of best-effort work could fill their memory. The slots that long-running tasks leave for short ones now also hold against the memory of best-effort tasks.

TestBestEffortTasksLeaveMemoryForShortTasks placed 0 of 20 short tasks after such a burst before, and 20 now. The reference of TestPlanMatchesReference has the rule.

--- a/core/tbassign/place.go
+++ b/core/tbassign/place.go
@@ -246,6 +246,11 @@
 // verify reports whether a worker tolerates a task of the step. If not, its score becomes
 // infeasibleScore.
 func (c *candidates) verify(r *workerState) bool {
+	// Tasks that the plan has placed on other workers may have taken the spare slots since the worker was scored.
+	if c.planState.takesNeededSlot(r, c.step, withoutProcessors(c.step.step.Need)) {
+		c.scores[r.classIndex] = infeasibleScore
+		return false
+	}
 	if c.unverified[r.classIndex] && !c.planState.tolerates(r, c.step) {
 		c.scores[r.classIndex] = infeasibleScore
 		return false
@@ -311,12 +316,29 @@
 	}
 	need := w.step.Need
 	if w.step.BestEffort {
-		need.MilliProcessors = 0
+		need = withoutProcessors(need)
 		if int64(float64(w.step.Need.MilliProcessors)*bestEffortRequestFactor) > r.unusedMillicores {
 			return false
 		}
 	}
-	return need.Fits(r.free) && satisfiesConstraints(w.step, r.worker, r.spreadCounts[w.stepRef()])
+	return need.Fits(r.free) && !p.takesNeededSlot(r, w, need) && satisfiesConstraints(w.step, r.worker, r.spreadCounts[w.stepRef()])
+}
+
+// withoutProcessors returns what a best-effort task takes from other tasks: it uses the processors that they
+// leave unused.
+func withoutProcessors(need tbresource.Amount) tbresource.Amount {
+	need.MilliProcessors = 0
+	return need
+}
+
+// takesNeededSlot reports whether the memory of a best-effort task would take a slot that short tasks need.
+func (p *planState) takesNeededSlot(r *workerState, w *waitingStep, need tbresource.Amount) bool {
+	b := p.slotBudgets[w.job.WorkerClass]
+	if !w.step.BestEffort || b == nil || !b.isKnown {
+		return false
+	}
+	taken := b.slotsTaken(r.free, need)
+	return taken > 0 && taken > b.spare
 }
 
 // satisfiesConstraints reports whether a worker has the label of a step and its spread limit
--- a/core/tbassign/plan.go
+++ b/core/tbassign/plan.go
@@ -78,7 +78,7 @@
 	// unplaceable holds, by index of the best-effort image, the demand of a task for which no
 	// worker was found.
 	unplaceable map[int]tbresource.Amount
-	// slotBudgets holds the budgets of the worker classes for which long-running steps are waiting.
+	// slotBudgets holds the budgets of the worker classes for which long-running or best-effort steps are waiting.
 	slotBudgets map[string]*slotBudget
 	// closedWorkers is the number of workers that the plan has closed to other tasks than a suspect of
 	// crashes.
@@ -138,13 +138,14 @@
 	p.images.addMissingLongRunning()
 }
 
-// computeSlotBudgets computes the budgets of slots for short tasks that long-running steps may take.
+// computeSlotBudgets computes the budgets of slots for short tasks that long-running and best-effort steps may
+// take.
 func (p *planState) computeSlotBudgets(steps []*waitingStep) {
 	assignedShortTasks := p.learner.observeShortDemand(p.now, p.state)
 	p.slotBudgets = map[string]*slotBudget{}
 	for _, w := range steps {
 		class := w.job.WorkerClass
-		if !w.step.LongRunning || p.slotBudgets[class] != nil {
+		if isShort(w.step) || p.slotBudgets[class] != nil {
 			continue
 		}
 		free := make([]tbresource.Amount, 0, len(p.workersByClass[class]))
--- a/core/tbassign/reference_test.go
+++ b/core/tbassign/reference_test.go
@@ -293,6 +293,10 @@
 		if !p.tolerates(r, w.step) {
 			return false
 		}
+		b := p.slotBudgets[w.job.WorkerClass]
+		if taken := b.slotsTaken(r.free, need); b.isKnown && taken > 0 && taken > b.spare {
+			return false
+		}
 	}
 	switch {
 	case !need.Fits(r.free):
@@ -303,10 +307,14 @@
 	return satisfiesConstraints(w.step, r.worker, r.spreadCounts[w.stepRef()])
 }
 
-// takeSlots counts the slots that a long-running task takes. With sign -1, it adds them back.
+// takeSlots counts the slots that a long-running or best-effort task takes. With sign -1, it adds them back.
 func (p *referenceState) takeSlots(r *referenceWorker, w waitingStep, sign int) {
-	if b := p.slotBudgets[w.job.WorkerClass]; w.step.LongRunning && b.isKnown {
-		b.spare -= sign * (b.demand.slots(r.free) - b.demand.slots(r.free.Sub(w.step.Need)))
+	need := w.step.Need
+	if w.step.BestEffort {
+		need.MilliProcessors = 0
+	}
+	if b := p.slotBudgets[w.job.WorkerClass]; !isShort(w.step) && b.isKnown {
+		b.spare -= sign * (b.demand.slots(r.free) - b.demand.slots(r.free.Sub(need)))
 	}
 }
 
--- a/core/tbassign/worker_state.go
+++ b/core/tbassign/worker_state.go
@@ -141,10 +141,16 @@
 		p.adjustBestEffort(r, w.step, sign)
 		need.MilliProcessors = 0
 	} else {
-		if b := p.slotBudgets[w.job.WorkerClass]; w.step.LongRunning && b != nil && b.isKnown {
+		p.adjustExpectedUse(r, w.step, sign)
+	}
+	if b := p.slotBudgets[w.job.WorkerClass]; b != nil && b.isKnown {
+		if !isShort(w.step) {
 			b.adjust(r.free, need, sign)
 		}
-		p.adjustExpectedUse(r, w.step, sign)
+		if b.slotsTaken(r.free, need) != 0 {
+			// A best-effort task that would have taken a slot from this worker may now take none.
+			clear(p.unplaceable)
+		}
 	}
 	r.adjustFree(w.step, w.stepRef(), need, sign)
 }
