Measure late answers against the shortest one, and ignore one slow plan

Workers that are far away, with answers after more than a quarter of the order timeout, would have kept the start window at its minimum for ever. The pressure of answers is now what they take longer than the shortest answer of the last seconds, against the rest of the timeout. A full plan during which the process was preempted would have put off the next one five times as long; the shorter of the last two counts now.

--- a/core/tbassign/planner.go
+++ b/core/tbassign/planner.go
@@ -45,8 +45,8 @@
 	lastFullPlanAt time.Time
 	nextFullPlanAt time.Time
 	window         startWindow
-	// planTime is the time that the last full plan has taken.
-	planTime time.Duration
+	// planTimes holds the times that the last two full plans have taken.
+	planTimes [2]time.Duration
 }
 
 // Load is what the leader observed of itself since it was last told.
@@ -62,10 +62,13 @@
 func (p *Planner) ObserveLoad(l Load) {
 	p.window.observeEvents(l.Events, l.AgeSum)
 	if l.PlanTime > 0 {
-		p.planTime = l.PlanTime
+		p.planTimes[0], p.planTimes[1] = p.planTimes[1], l.PlanTime
 	}
 }
 
+// planTime returns the time that a full plan takes. The process may have been preempted during one of the last two.
+func (p *Planner) planTime() time.Duration { return min(p.planTimes[0], p.planTimes[1]) }
+
 // NextFullPlanAt returns the time from which the next full plan may be made. It is the zero time
 // before the first full plan.
 func (p *Planner) NextFullPlanAt() time.Time { return p.nextFullPlanAt }
@@ -94,7 +97,8 @@
 
 // NextPlan returns the next plan.
 func (p *Planner) NextPlan(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer) PlannedRuns {
-	p.window.update(now, f.AnswerTime(), f.OrderTimeout(), shortestTarget(&s.Config))
+	answerTime, shortest := f.AnswerTime()
+	p.window.update(now, answerTime, shortest, f.OrderTimeout(), shortestTarget(&s.Config))
 	room := p.window.room(f.BestEffortUnderWay(now))
 	waitsForRoom := float64(room) < minRoomShare*p.window.size && now.Sub(p.lastFullPlanAt) < fullPlanInterval
 	if now.Before(p.nextFullPlanAt) || waitsForRoom {
@@ -106,7 +110,7 @@
 		interval = fullPlanIntervalAtLimit
 	}
 	p.window.isLimiting = p.window.isLimiting || plan.reachedLimit
-	p.lastFullPlanAt, p.nextFullPlanAt = now, now.Add(max(interval, planTimeFactor*p.planTime))
+	p.lastFullPlanAt, p.nextFullPlanAt = now, now.Add(max(interval, planTimeFactor*p.planTime()))
 	return plan
 }
 
--- a/core/tbassign/start_window.go
+++ b/core/tbassign/start_window.go
@@ -21,8 +21,8 @@
 	// A step passes through the event queue three times until it starts: with its submission or the end of the
 	// step before it, and twice with its commit. With events of a sixth of the target, that is half of it.
 	eventAgeShare = 6
-	// An order without an answer is unconfirmed after its timeout, and its run is stopped. Answers have to
-	// stay well below it.
+	// An order without an answer is unconfirmed after its timeout, and its run is stopped. What answers take
+	// longer than the shortest one has to stay well below the rest of the timeout.
 	answerTimeShare = 4
 	// maxDecrease is the smallest factor of one change of the window.
 	maxDecrease = 0.5
@@ -53,16 +53,16 @@
 	w.ageSum += ageSum
 }
 
-// update changes the window at most once per answer time. The pressure is above 1 if events or answers are
-// late.
-func (w *startWindow) update(now time.Time, answerTime, orderTimeout, target time.Duration) {
+// update changes the window at most once per answer time. answerTime is the usual time until a start is answered,
+// and shortest the shortest one. The pressure is above 1 if events or answers are late.
+func (w *startWindow) update(now time.Time, answerTime, shortest, orderTimeout, target time.Duration) {
 	if w.size == 0 {
 		w.size = initialWindow
 	}
 	if now.Before(w.nextChangeAt) || answerTime == 0 {
 		return
 	}
-	pressure := float64(answerTime*answerTimeShare) / float64(orderTimeout)
+	pressure := float64((answerTime-shortest)*answerTimeShare) / float64(max(time.Millisecond, orderTimeout-shortest))
 	agePressure := 0.0
 	if w.events > 0 {
 		age := w.ageSum / time.Duration(w.events)
--- a/core/tbassign/start_window_test.go
+++ b/core/tbassign/start_window_test.go
@@ -7,14 +7,14 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// windowAfter returns the window after changes under the same conditions.
+// windowAfter returns the window after changes under the same conditions. The shortest answer takes 5 ms.
 func windowAfter(changes int, age, answerTime time.Duration, isLimiting bool) float64 {
 	w := startWindow{size: 200}
 	now := time.UnixMilli(0)
 	for range changes {
 		w.observeEvents(10, 10*age)
 		w.isLimiting = isLimiting
-		w.update(now, answerTime, 400*time.Millisecond, 250*time.Millisecond)
+		w.update(now, answerTime, 5*time.Millisecond, 400*time.Millisecond, 250*time.Millisecond)
 		now = now.Add(answerTime)
 	}
 	return w.size
@@ -47,8 +47,30 @@
 	now := time.UnixMilli(0)
 	for range 10 {
 		w.observeEvents(10, 10*time.Second)
-		w.update(now, 50*time.Millisecond, 400*time.Millisecond, 250*time.Millisecond)
+		w.update(now, 50*time.Millisecond, 5*time.Millisecond, 400*time.Millisecond, 250*time.Millisecond)
 		now = now.Add(time.Millisecond)
 	}
 	qt.Check(t, w.size, qt.Equals, 100.0)
 }
+
+// Workers that are far away take long to answer, however few starts are under way.
+func TestWindowGrowsAlthoughWorkersAreFarAway(t *testing.T) {
+	w := startWindow{size: 200}
+	now := time.UnixMilli(0)
+	for range 5 {
+		w.isLimiting = true
+		w.update(now, 210*time.Millisecond, 200*time.Millisecond, 400*time.Millisecond, 250*time.Millisecond)
+		now = now.Add(210 * time.Millisecond)
+	}
+	qt.Check(t, w.size > 1000, qt.IsTrue, qt.Commentf("%.0f", w.size))
+}
+
+// A plan during which the process was preempted says nothing about the next ones.
+func TestOneSlowPlanDoesNotDelayTheNextOnes(t *testing.T) {
+	var p Planner
+	p.ObserveLoad(Load{PlanTime: 2 * time.Millisecond})
+	p.ObserveLoad(Load{PlanTime: 600 * time.Millisecond})
+	qt.Check(t, p.planTime(), qt.Equals, 2*time.Millisecond)
+	p.ObserveLoad(Load{PlanTime: 600 * time.Millisecond})
+	qt.Check(t, p.planTime(), qt.Equals, 600*time.Millisecond)
+}
--- a/core/tbcontrol/flow.go
+++ b/core/tbcontrol/flow.go
@@ -330,11 +330,12 @@
 		return
 	}
 	underWay := l.fleet.BestEffortUnderWay(now)
+	answerTime, _ := l.fleet.AnswerTime()
 	plan := l.planner.NextPlan(now, c.state.Flow, l.fleet, l.learner, l.rebalancer)
 	// A partial plan covers short steps only (see tbassign.Planner); the next full plan covers the rest.
 	l.needsPlan, l.earliestPlanAt = !plan.IsFull, l.planner.NextFullPlanAt()
 	if plan.IsFull || plan.WaitingSteps > 0 {
-		c.emit(PlanMade{IsFull: plan.IsFull, Runs: len(plan.Runs), Limit: plan.Limit, WaitingSteps: plan.WaitingSteps, UnderWay: underWay, AnswerTime: l.fleet.AnswerTime()})
+		c.emit(PlanMade{IsFull: plan.IsFull, Runs: len(plan.Runs), Limit: plan.Limit, WaitingSteps: plan.WaitingSteps, UnderWay: underWay, AnswerTime: answerTime})
 	}
 	if len(plan.Runs) > 0 {
 		l.assignInFlight = true
--- a/core/tbfleet/starts.go
+++ b/core/tbfleet/starts.go
@@ -7,21 +7,34 @@
 // silent workers would get further tasks, because they look free. A start is therefore overdue as soon as
 // it takes much longer than usual, by the estimate that TCP uses for its retransmissions (RFC 6298).
 
-// Weights of a new answer time in the estimates.
+// Weights of a new answer time in the estimates, and the time for which the shortest one counts.
 const (
 	answerTimeWeight = 1.0 / 8
 	deviationWeight  = 1.0 / 4
 	// deviationFactor is the number of deviations after which a start is overdue.
 	deviationFactor = 4
+	shortestPeriod  = 10 * time.Second
 )
 
 // answerTimes estimates the time from the order of a start to the handling of its answer.
 type answerTimes struct {
 	smoothed  time.Duration
 	deviation time.Duration
+	// shortest is the shortest answer time of the current period, which began at periodStart, and
+	// previousShortest that of the period before.
+	shortest         time.Duration
+	previousShortest time.Duration
+	periodStart      time.Time
 }
 
-func (t *answerTimes) observe(d time.Duration) {
+func (t *answerTimes) observe(now time.Time, d time.Duration) {
+	switch {
+	case t.smoothed == 0:
+		t.shortest, t.previousShortest, t.periodStart = d, d, now
+	case now.Sub(t.periodStart) >= shortestPeriod:
+		t.shortest, t.previousShortest, t.periodStart = d, t.shortest, now
+	}
+	t.shortest = min(t.shortest, d)
 	if t.smoothed == 0 {
 		t.smoothed, t.deviation = d, d/2
 		return
@@ -66,7 +79,7 @@
 		f.bestEffortUnderWay--
 	}
 	if a.Outcome == Accepted && run.Phase == RunOrdered {
-		f.answers.observe(now.Sub(run.startSentAt))
+		f.answers.observe(now, now.Sub(run.startSentAt))
 	}
 }
 
@@ -97,9 +110,11 @@
 	return f.bestEffortUnderWay
 }
 
-// AnswerTime returns the usual time from the order of a start to the handling of its answer, or 0 if no start
-// was answered yet.
-func (f *Fleet) AnswerTime() time.Duration { return f.answers.smoothed }
+// AnswerTime returns the usual time from the order of a start to the handling of its answer, and the shortest one
+// of the last seconds. Both are 0 if no start was answered yet.
+func (f *Fleet) AnswerTime() (usual, shortest time.Duration) {
+	return f.answers.smoothed, min(f.answers.shortest, f.answers.previousShortest)
+}
 
 // OrderTimeout returns the time after which an order without an answer is unconfirmed.
 func (f *Fleet) OrderTimeout() time.Duration { return f.params.OrderTimeout }
