--- a/core/tbcontrol/leader_load_fake_test.go
+++ b/core/tbcontrol/leader_load_fake_test.go
@@ -641,7 +641,7 @@
 	s.run(6 * time.Second)
 }
 
-// silence makes workers silent for d, chosen at random.
+// silence lets workers that are chosen at random leave orders unanswered for d.
 func (s *loadSimulation) silence(count int, d time.Duration) {
 	for _, i := range s.rng.Perm(len(s.workers))[:count] {
 		s.workers[i].silentUntil = s.now.Add(d)
--- a/core/tbcontrol/types.go
+++ b/core/tbcontrol/types.go
@@ -241,8 +241,8 @@
 	Routine bool
 }
 
-// PlanMade reports a plan of runs of multi-step jobs, for the account of the leader's work. No action
-// follows from it.
+// PlanMade reports a plan of runs of multi-step jobs. The caller accounts for it, and passes the time that a
+// full plan took with the next EventBatchEnded.
 type PlanMade struct {
 	// IsFull is false for a plan of short steps only.
 	IsFull bool
