--- a/review/_lab/runner.go
+++ b/review/_lab/runner.go
@@ -479,7 +479,12 @@
 		r.w.mu.Lock()
 	}
 	if r.life != l || r.cut {
+		cut := r.cut
 		r.w.mu.Unlock()
+		if cut {
+			// A silent runner does not close its connections, either.
+			<-q.Context().Done()
+		}
 		panic(http.ErrAbortHandler)
 	}
 	now := time.Now()
