--- a/review/_lab/cases.go
+++ b/review/_lab/cases.go
@@ -270,7 +270,8 @@
 	l.finish(broken)
 }
 
-// otherWriter: a heartbeat that lacks fields comes from another writer. It must have no effect.
+// otherWriter: a heartbeat that lacks fields comes from another writer, with an id of its own and the address of a
+// runner. It must have no effect.
 func otherWriter(l *lab) {
 	l.start()
 	for range 4 {
@@ -292,9 +293,9 @@
 			"service": service, "address": r.address(), "zone": "zone-a", "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
 			"capacity": map[string]any{}, "labels": r.labels, "clock_ms": 1200, "sequence": 1, "born": time.Now().UnixMilli(),
 		})
-		l.logf("another writer: heartbeat of %s: %s", r.id, body)
+		l.logf("another writer: heartbeat of i-0badc0de: %s", body)
 		for i, n := range l.cores {
-			status, answer := l.send("POST", fmt.Sprintf("http://%s:%d/instances/%s/heartbeat", n.ip, controlPort, r.id), body, time.Second, false)
+			status, answer := l.send("POST", fmt.Sprintf("http://%s:%d/instances/i-0badc0de/heartbeat", n.ip, controlPort), body, time.Second, false)
 			l.logf("another writer: the answer of %s is %d %s", n.name, status, short(answer))
 			if status == 200 || i == 1 {
 				break
