--- a/review/_lab/client.go
+++ b/review/_lab/client.go
@@ -94,8 +94,9 @@
 }
 
 // submit hands a job in until it is accepted.
-func (l *lab) submit(prefix string, j job) string {
-	id := newID()
+func (l *lab) submit(prefix string, j job) string { return l.submitAs(newID(), prefix, j) }
+
+func (l *lab) submitAs(id, prefix string, j job) string {
 	body, _ := json.Marshal(j)
 	l.logf("client: job %s%s is %s", prefix, id, body)
 	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(300 * time.Millisecond) {
--- a/review/_lab/runner.go
+++ b/review/_lab/runner.go
@@ -141,7 +141,7 @@
 // begin begins a new life. It knows nothing of the one before.
 func (r *runner) begin() {
 	r.w.mu.Lock()
-	current := &life{born: time.Now(), leaseEnd: -1, running: map[string]*run{}, blocked: map[string]uint64{}}
+	current := newLife()
 	r.life = current
 	r.w.mu.Unlock()
 	l, err := net.Listen("tcp", r.address())
@@ -173,6 +173,32 @@
 	r.server.Close()
 }
 
+// setCut cuts the runner off, silently, or ends that.
+func (r *runner) setCut(cut bool) {
+	r.w.mu.Lock()
+	defer r.w.mu.Unlock()
+	r.cut = cut
+	r.w.lab.logf("runner %s: cut off %t", r.id, cut)
+}
+
+// restartBehindCut ends the life of a runner that is cut off, and begins another one after a time. Nobody sees its
+// connections end.
+func (r *runner) restartBehindCut(down time.Duration) {
+	r.w.mu.Lock()
+	r.w.lab.logf("runner %s crashes behind the cut with %d runs", r.id, len(r.life.running))
+	r.life = nil
+	r.w.mu.Unlock()
+	time.Sleep(down)
+	r.w.mu.Lock()
+	defer r.w.mu.Unlock()
+	r.life = newLife()
+	r.w.lab.logf("runner %s begins a life behind the cut, born %d", r.id, r.life.born.UnixMilli())
+}
+
+func newLife() *life {
+	return &life{born: time.Now(), leaseEnd: -1, running: map[string]*run{}, blocked: map[string]uint64{}}
+}
+
 type order struct {
 	Task       string `json:"task"`
 	Run        uint64 `json:"run"`
