--- a/review/_lab/cases.go
+++ b/review/_lab/cases.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"slices"
-	"strings"
 	"time"
 )
 
