--- a/review/_lab/cases.go
+++ b/review/_lab/cases.go
@@ -4,49 +4,20 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"sync"
 	"time"
 )
 
 var cases = map[string]func(*lab){
-	"lowered-attempts": loweredAttempts,
-	"other-writer":     otherWriter,
-	"late-reborn":      lateReborn,
-	"dark-start":       darkStart,
-	"dark-pending":     darkPending,
+	"other-writer":  otherWriter,
+	"burst-starves": burstStarves,
+	"late-reborn":   lateReborn,
+	"dark-start":    darkStart,
+	"dark-pending":  darkPending,
 }
 
 const prefix = "/quotes/"
 
-// loweredAttempts: a task has failed three times of four and waits for its next run when its route is removed
-// and added again with two attempts. The job must then be shown as failed, or its task must run.
-func loweredAttempts(l *lab) {
-	l.start()
-	l.world.add("b", 16000)
-	for range 2 {
-		l.world.add("a", 16000)
-	}
-	l.configure(1, newRoute("r-1", prefix, 4), newRoute("r-2", "/other/", 4))
-	time.Sleep(2500 * time.Millisecond)
-	id := l.submit(prefix, job{Spec: "work=500 cpu=500 fails=1", Steps: []step{{Count: 1, CPU: 500, MemMB: 256, EstimatedMs: 500, Requirements: "b"}}})
-	task := id + ".0.0.0"
-	for deadline := time.Now().Add(30 * time.Second); l.world.endsOf(task, "failed") < 3; time.Sleep(10 * time.Millisecond) {
-		if time.Now().After(deadline) {
-			l.unusable("the task did not fail three times")
-		}
-	}
-	// The third end is recorded by then, and the task waits before it returns to the runner of its last failure.
-	time.Sleep(400 * time.Millisecond)
-	if trouble() {
-		l.configure(2, newRoute("r-2", "/other/", 4))
-		l.configure(3, newRoute("r-1", prefix, 2), newRoute("r-2", "/other/", 4))
-	}
-	last := l.waitState(prefix, id, 40*time.Second, "failed", "completed")
-	if last == "failed" || last == "completed" {
-		l.finish(nil)
-	}
-	l.finish([]string{fmt.Sprintf("LOST: 40 s after the configuration job %s is still shown as %q; its task was started %d times and nothing runs", id, last, l.world.startsOf(task))})
-}
-
 // endsOf returns how many runs of a task have ended in a way.
 func (w *world) endsOf(task, how string) int {
 	w.mu.Lock()
@@ -300,3 +271,52 @@
 	l.world.mu.Unlock()
 	l.finish(broken)
 }
+
+// burstStarves: after a burst of short jobs, a job of tasks that fill (utilization) must not have nothing running for
+// 3 s, finish_s after the traffic has ended, while the service is empty.
+func burstStarves(l *lab) {
+	l.start()
+	for range 7 {
+		l.world.add("a", 16000).memMB = 32768
+	}
+	fills := newRoute("r-2", "/fills/", 4)
+	fills.Priority, fills.TargetLatencyMs, fills.SlackFactor = 2, 1000, 2
+	l.configure(1, newRoute("r-1", prefix, 4), fills)
+	time.Sleep(2500 * time.Millisecond)
+	// 33 tasks of one second a second take six tenths of the 56 that have room at the same time.
+	const usual, burst = 300 * time.Millisecond, 300 * time.Millisecond * 10 / 26
+	short := job{Spec: "work=1000 cpu=2000 mem=4096", Steps: []step{{Count: 10, CPU: 2000, MemMB: 4096, EstimatedMs: 1000}}}
+	var id string
+	var wg sync.WaitGroup
+	began := time.Now()
+	for elapsed := time.Duration(0); elapsed < 11*time.Second; elapsed = time.Since(began) {
+		wg.Add(1)
+		go func() { defer wg.Done(); l.submit(prefix, short) }()
+		pause := usual
+		if trouble() && elapsed > 5*time.Second && elapsed < 9*time.Second {
+			pause = burst
+		}
+		if id == "" && elapsed > 8500*time.Millisecond {
+			id = l.submit("/fills/", job{Spec: "work=1500 mem=4096", Steps: []step{{Count: 2, CPU: 2000, MemMB: 4096, EstimatedMs: 1500, Image: "image-1", Utilization: true}}})
+		}
+		time.Sleep(pause)
+	}
+	wg.Wait()
+	l.logf("the traffic ends")
+	time.Sleep(finishTime)
+	var broken []string
+	if s, _ := l.state("/fills/", id); s != "completed" && s != "failed" {
+		stuck := true
+		for deadline := time.Now().Add(stuckTime); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+			for _, task := range []string{id + ".0.0.0", id + ".0.0.1"} {
+				stuck = stuck && !l.world.isRunning(task) && l.world.endsOf(task, "done") == 0
+			}
+		}
+		if stuck {
+			broken = append(broken, fmt.Sprintf("LOST: from %.1f s to %.1f s after the end of the traffic nothing of job %s runs, which is shown as %q; its tasks are due, and nothing runs on any of the seven runners",
+				finishTime.Seconds(), (finishTime+stuckTime).Seconds(), id, s))
+		}
+	}
+	l.logf("job %s is shown as %q later; its first task was started %d times", id, l.waitState("/fills/", id, 45*time.Second, "completed", "failed"), l.world.startsOf(id+".0.0.0"))
+	l.finish(broken)
+}
--- a/review/_lab/client.go
+++ b/review/_lab/client.go
@@ -19,6 +19,8 @@
 	Checkpoints  bool   `json:"checkpointing,omitempty"`
 	Gang         bool   `json:"gang,omitempty"`
 	Requirements string `json:"requirements,omitempty"`
+	Image        string `json:"image,omitempty"`
+	Utilization  bool   `json:"utilization,omitempty"`
 }
 
 type job struct {
--- a/review/_lab/runner.go
+++ b/review/_lab/runner.go
@@ -49,6 +49,7 @@
 	id, ip  string
 	labels  []string
 	cpu     int
+	memMB   int
 	life    *life
 	server  *http.Server
 	lastBeg time.Time
@@ -73,7 +74,7 @@
 
 type run struct {
 	number     uint64
-	cpu        int
+	cpu, memMB int
 	work       time.Duration // of the task in full
 	progressed time.Duration // saved in the checkpoint that the start carried
 	since      time.Time     // the work began, or zero
@@ -126,7 +127,7 @@
 func (w *world) add(kind string, cpu int) *runner {
 	n := len(w.runners)
 	r := &runner{w: w, id: fmt.Sprintf("i-%08x", rand.Uint32()), ip: fmt.Sprintf("%s.%d", w.lab.prefix, 100+n),
-		labels: []string{kind, fmt.Sprintf("r1-%d", n)}, cpu: cpu}
+		labels: []string{kind, fmt.Sprintf("r1-%d", n)}, cpu: cpu, memMB: 128000}
 	w.mu.Lock()
 	w.runners = append(w.runners, r)
 	w.mu.Unlock()
@@ -319,14 +320,14 @@
 	if o.Run <= l.blocked[o.Task] {
 		return 409, "old"
 	}
-	used := 0
+	used, usedMB := 0, 0
 	for _, x := range l.running {
-		used += x.cpu
+		used, usedMB = used+x.cpu, usedMB+x.memMB
 	}
-	if used+number(o.Spec, "cpu") > r.cpu {
+	if used+number(o.Spec, "cpu") > r.cpu || usedMB+number(o.Spec, "mem") > r.memMB {
 		return 409, "room"
 	}
-	x := &run{number: o.Run, cpu: number(o.Spec, "cpu"), work: time.Duration(number(o.Spec, "work")) * time.Millisecond, arrived: now, outcome: "done", checkpoint: o.Checkpoint}
+	x := &run{number: o.Run, cpu: number(o.Spec, "cpu"), memMB: number(o.Spec, "mem"), work: time.Duration(number(o.Spec, "work")) * time.Millisecond, arrived: now, outcome: "done", checkpoint: o.Checkpoint}
 	if ms, err := strconv.ParseInt(o.Checkpoint, 16, 64); o.Checkpoint != "" && err == nil {
 		x.progressed = time.Duration(ms) * time.Millisecond
 	}
@@ -557,7 +558,7 @@
 	}
 	body, _ := json.Marshal(map[string]any{
 		"service": service, "address": r.address(), "zone": "zone-a", "version": "v1", "slots": 8, "state": state, "cold_remaining_ms": 0,
-		"capacity": map[string]any{"cpu": r.cpu, "mem_mb": 128000, "gpu": 0}, "labels": r.labels, "clock_ms": l.clock(time.Now()), "sequence": l.sequence, "born": l.born.UnixMilli(),
+		"capacity": map[string]any{"cpu": r.cpu, "mem_mb": r.memMB, "gpu": 0}, "labels": r.labels, "clock_ms": l.clock(time.Now()), "sequence": l.sequence, "born": l.born.UnixMilli(),
 	})
 	targets := []string{}
 	if r.w.beat != "" {
