--- a/review/_lab/main.go
+++ b/review/_lab/main.go
@@ -4,8 +4,12 @@
 import (
 	"fmt"
 	"os"
+	"time"
 )
 
+// maxTime bounds a case.
+const maxTime = 115 * time.Second
+
 func main() {
 	if len(os.Args) != 3 {
 		fmt.Println("usage: lab CASE RECORD, in the repository's root")
@@ -17,6 +21,7 @@
 		os.Exit(2)
 	}
 	l := newLab(os.Args[2])
+	time.AfterFunc(maxTime, func() { l.unusable("not over after %s", maxTime) })
 	l.logf("case %s, disruption %t", os.Args[1], trouble())
 	play(l)
 }
