Bind a task to the worker of a start that got no answer

Cause: the leader took an unanswered start as settled once the worker had confirmed a stop, had seen the token of a later leader, or had restarted. Each of these holds for the incarnation that answered. The next one knows neither the stop nor the token, executes the start up to 12 s later, and nothing in a start tells incarnations apart.

Change: the start stays in the replicated state as outstanding (RecordUnanswered) until it can have no effect any more (RecordSettled): a list of the worker that is newer than the longest delay and does not have the run, or the delay and a lease without an answer. Meanwhile the state refuses to assign the task to any worker but the one that the start was sent to, or the one that took over its address. There the task starts again at once under a higher run number: while an incarnation goes on, it refuses the earlier run, and when it ends, the later run ends with it. A later leader counts the time from its takeover. Related paths: - Ends of a run whose assignment had ended count: done, failed, and the checkpoint. - No ends are acknowledged at the worker meanwhile. A late poll could discard the end of a late run, and an end as done could be acknowledged before the start is executed. Polls pause for 100 ms, as the worker answers them at once. - An incarnation that executes two outstanding starts of a task one after the other, the first one done, must not get an acknowledgement of that end: its lease is left to end first, which voids it (lapse.go). The schedules found this. - The planner places bound tasks first, delays no other task by them, moves none of them, and starts the suspects of a crash that are bound to one worker one job after the other. A crash just at a repeated start counts again, although it is on the same machine. - Steps that allow copies are not bound.

--- a/core/tbassign/considered_workers.go
+++ b/core/tbassign/considered_workers.go
@@ -39,7 +39,7 @@
 //
 // On a fleet of more than maxPlanWorkers, these are up to maxPlanWorkers of each class that the
 // steps need, in order of their IDs from where the last plan stopped. In addition, they are the
-// workers in the racks of the steps, and those on which capacity is reserved.
+// workers in the racks of the steps, those of bound tasks, and those on which capacity is reserved.
 func (p *planState) addWorkers(f *tbfleet.Fleet, steps []*waitingStep) {
 	size := f.Size()
 	b := &p.learner.planBuffers
@@ -89,6 +89,11 @@
 	for _, r := range p.rebalancer.reservations {
 		add(f.Worker(r.workerID))
 	}
+	for _, b := range p.bound {
+		for _, w := range f.BoundWorkers(p.state, b.ref) {
+			add(w)
+		}
+	}
 	for i := 0; len(racks) > 0 && i < f.Size(); i++ {
 		if w := f.WorkerAt(i); w != nil && racks[w.Rack] {
 			add(w)
--- a/core/tbassign/place.go
+++ b/core/tbassign/place.go
@@ -49,6 +49,9 @@
 		if len(plan) >= limit {
 			break
 		}
+		if p.state.IsBound(ref) {
+			continue
+		}
 		t := w.job.Task(ref)
 		r, isSuspect := p.placeSuspect(w, ref, t)
 		if isSuspect && r == nil {
@@ -148,10 +151,7 @@
 	var assignedWorkers []*workerState
 	cs := p.scoreWorkers(w)
 	for _, ref := range w.waitingTasks() {
-		r, isSuspect := p.placeSuspect(w, ref, w.job.Task(ref))
-		if r == nil && !isSuspect {
-			r = cs.choose(w.job.Task(ref))
-		}
+		r := p.placeMember(w, ref, cs)
 		if r == nil {
 			for _, r := range assignedWorkers {
 				p.release(r, w)
@@ -166,6 +166,18 @@
 	return plan
 }
 
+// placeMember returns the worker for a member of a gang, or nil.
+func (p *planState) placeMember(w *waitingStep, ref tbflow.TaskRef, cs *candidates) *workerState {
+	if p.state.IsBound(ref) {
+		return p.boundWorker(ref, w)
+	}
+	r, isSuspect := p.placeSuspect(w, ref, w.job.Task(ref))
+	if r == nil && !isSuspect {
+		r = cs.choose(w.job.Task(ref))
+	}
+	return r
+}
+
 // candidates holds the scores of the considered workers of a class for one step. When capacity on a
 // worker is assigned or released, the worker is scored again.
 type candidates struct {
--- a/core/tbassign/plan.go
+++ b/core/tbassign/plan.go
@@ -29,6 +29,7 @@
 
 // placeAll adds the runs of the steps to the plan, up to its limits.
 func (p *planState) placeAll(plan *PlannedRuns, steps []*waitingStep, limit planLimit) {
+	p.placeBound(plan, limit)
 	bestEffortRuns := 0
 	for _, step := range steps {
 		n := limit.runs - len(plan.Runs)
@@ -75,6 +76,8 @@
 	// harmfulShares holds, for each learned best-effort image, the share of workers on which the
 	// image is harmful. It is nil until it is first needed.
 	harmfulShares []float64
+	// bound holds the bound tasks of the steps of the plan.
+	bound []boundTask
 	// unplaceable holds, by index of the best-effort image, the demand of a task for which no
 	// worker was found.
 	unplaceable map[int]tbresource.Amount
@@ -95,6 +98,7 @@
 		state: s, fleet: f, learner: l, rebalancer: g, now: now, nowMs: s.TimeAt(now), workersByClass: map[string][]*workerState{},
 		spreadCountedSteps: map[stepRef]bool{}, unplaceable: map[int]tbresource.Amount{}, candidates: candidates{buffers: &l.planBuffers},
 	}
+	p.bound = boundTasks(s, steps)
 	p.addWorkers(f, steps)
 	p.applyReservations()
 	return p
--- a/core/tbassign/planner.go
+++ b/core/tbassign/planner.go
@@ -193,7 +193,7 @@
 			if !j.IsDue(k, now) {
 				continue
 			}
-			switch anyWaiting, anyOverdue := hasWaitingLongRunning(s.TimeAt(now), j, k); {
+			switch anyWaiting, anyOverdue := hasWaitingLongRunning(s, s.TimeAt(now), j, k); {
 			case anyOverdue:
 				priorityCutoff = min(priorityCutoff, j.Priority)
 			case anyWaiting:
@@ -205,14 +205,16 @@
 }
 
 // hasWaitingLongRunning reports whether an occurrence of a job has a waiting long-running task,
-// and whether one of these tasks is overdue.
-func hasWaitingLongRunning(nowMs int64, j *tbflow.Job, k int) (anyWaiting, anyOverdue bool) {
+// and whether one of these tasks is overdue. Bound tasks are left out, because they may have to wait although
+// there is room elsewhere.
+func hasWaitingLongRunning(s *tbflow.State, nowMs int64, j *tbflow.Job, k int) (anyWaiting, anyOverdue bool) {
 	for i := range j.Steps {
 		if !j.Steps[i].LongRunning || j.WaitingTasks(k, i) == 0 || !j.StepReady(k, i) {
 			continue
 		}
 		for n := range j.Tasks[k][i] {
-			if t := &j.Tasks[k][i][n]; t.Phase == tbflow.TaskWaiting {
+			t, ref := &j.Tasks[k][i][n], tbflow.TaskRef{Job: j.ID, Occurrence: k, Step: i, Index: n}
+			if t.Phase == tbflow.TaskWaiting && !s.IsBound(ref) {
 				anyWaiting, anyOverdue = true, anyOverdue || isOverdue(nowMs, t)
 			}
 		}
--- a/core/tbassign/rebalance_round.go
+++ b/core/tbassign/rebalance_round.go
@@ -111,7 +111,7 @@
 			_, onCooldown := g.movePlannedAt[ref]
 			age := time.Duration(nowMs-t.AssignedMs) * time.Millisecond
 			r.tasks = append(r.tasks, &rebalanceTask{ref: ref, step: step, image: c.imageOf(step.Image),
-				movable: !onCooldown && age > minRunTimeBeforeMove && !notRunningSteps[stepRefOf(ref)] && run != nil && run.Phase == tbfleet.RunExecuting})
+				movable: !onCooldown && !s.IsBound(ref) && age > minRunTimeBeforeMove && !notRunningSteps[stepRefOf(ref)] && run != nil && run.Phase == tbfleet.RunExecuting})
 		})
 		slices.SortFunc(r.tasks, func(a, b *rebalanceTask) int { return compareRefs(a.ref, b.ref) })
 		for _, t := range r.tasks {
--- a/core/tbassign/suspects.go
+++ b/core/tbassign/suspects.go
@@ -90,6 +90,10 @@
 			stale:    p.now.Sub(r.worker.LastHeardAt) > maxContactAge,
 			unproven: r.unprovenRuns + r.plannedRuns, runs: p.state.RunCount(r.worker.ID),
 		}
+		if p.fleet.HasOutstanding(r.worker) {
+			// A bound task may need the worker for itself.
+			c.unproven++
+		}
 		if best.r == nil || compareSuspectCandidates(c, best) < 0 {
 			best = c
 		}
--- a/core/tbassign/worker_state.go
+++ b/core/tbassign/worker_state.go
@@ -33,6 +33,8 @@
 	plannedRuns int
 	// closed is true if the plan has placed a suspect of crashes on the worker, which gets no other task.
 	closed bool
+	// observedJob is the job of the bound suspects of crashes that the plan has placed on the worker, or empty.
+	observedJob string
 	// unprovenRuns is the number of unproven runs before the plan, if unprovenIsKnown is true.
 	unprovenRuns    int
 	unprovenIsKnown bool
--- a/core/tbcontrol/decision_log.go
+++ b/core/tbcontrol/decision_log.go
@@ -70,7 +70,11 @@
 		}
 	case tbflow.RecordEnds:
 		for _, e := range command.Ends {
-			c.logEnd(command.Worker, index, e)
+			c.logEnd(command.Worker, index, e, endKindTexts[e.Kind])
+		}
+	case tbflow.RecordUnanswered:
+		for _, r := range command.Runs {
+			c.logEnd(command.Worker, index, tbflow.End{Ref: r.Ref, Run: r.Run, Kind: tbflow.EndNeverRan}, "unanswered")
 		}
 	case tbflow.RecordCrash:
 		c.logCrash(index, command)
@@ -115,14 +119,15 @@
 	tbflow.EndDone: "done", tbflow.EndFailed: "failed", tbflow.EndStopped: "stopped", tbflow.EndNeverRan: "neverRan",
 }
 
-func (c *Control) logEnd(worker string, index uint64, e tbflow.End) {
+// logEnd logs the end of a run. how says in one word how the run ended.
+func (c *Control) logEnd(worker string, index uint64, e tbflow.End, how string) {
 	j := c.state.Flow.Jobs[e.Ref.Job]
 	if j == nil || j.Task(e.Ref) == nil {
 		return
 	}
 	t := j.Task(e.Ref)
 	runText := newRunText(e.Ref, e.Run, worker)
-	runText = append(append(runText, " how="...), endKindTexts[e.Kind]...)
+	runText = append(append(runText, " how="...), how...)
 	runText = appendNumber(runText, "ranMs", c.state.Flow.NowMs-t.AssignedMs)
 	runText = strconv.AppendBool(append(runText, " checkpoint="...), e.Checkpoint != "")
 	c.pendingLogLines.addRunText(runLineKey{message: "run ended", job: j.ID, index: index, isRoutine: e.Kind == tbflow.EndDone}, runText)
--- a/core/tbcontrol/flow.go
+++ b/core/tbcontrol/flow.go
@@ -230,6 +230,8 @@
 		for _, r := range command.Runs {
 			l.stopRunsOfEndedJob(now, c.state.Flow.Jobs[r.Ref.Job])
 		}
+	case tbflow.RecordUnanswered, tbflow.RecordSettled:
+		l.earliestPlanAt = time.Time{}
 	case tbflow.RecordEnds:
 		l.earliestPlanAt = time.Time{}
 		for _, e := range command.Ends {
@@ -295,14 +297,15 @@
 	}
 }
 
-// stopUnfinishableRuns stops the runs on draining workers that cannot finish in time.
+// stopUnfinishableRuns stops the runs on draining workers that cannot finish in time. A bound task could not start
+// elsewhere meanwhile, so its run goes on.
 func (l *flowLeaderState) stopUnfinishableRuns(c *Control, now time.Time) {
 	for _, w := range l.fleet.Workers() {
 		if !w.Draining {
 			continue
 		}
 		w.EachRun(func(ref tbflow.TaskRef, r *tbfleet.Run) {
-			if step := c.state.Flow.StepOf(ref); step != nil && !tbassign.EndsBeforeDrain(now, w, r, step) {
+			if step := c.state.Flow.StepOf(ref); step != nil && !c.state.Flow.IsBound(ref) && !tbassign.EndsBeforeDrain(now, w, r, step) {
 				l.fleet.Stop(now, w.ID, ref)
 			}
 		})
--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -39,6 +39,7 @@
 	// may be under way. bestEffortUnderWay is the number of those that are.
 	bestEffortStarts   []*Run
 	bestEffortUnderWay int
+	outstanding        outstandingStarts
 	output             Output
 }
 
@@ -110,9 +111,17 @@
 	// nextResendAt is the earliest time at which an order to the worker other than a poll may have to be sent, as
 	// long as the worker answers. Each tick before it passes the worker over while a poll is in flight.
 	nextResendAt time.Time
-	// watchedUntil is when no settled start can be executed late any more. Until then the worker is polled
-	// although it has no runs, so that its restart is noticed at once (see watchForLateStart).
-	watchedUntil time.Time
+	// listsAll is true if the newest poll answer had complete lists. unreadable holds the tasks of entries in it
+	// that cannot be read.
+	listsAll   bool
+	unreadable []tbflow.TaskRef
+	// unassignedEnds holds the runs of outstanding starts whose ends the newest poll answer has shown and that were
+	// not recorded before.
+	unassignedEnds []tbflow.RunRef
+	// lapse says whether the lease of the worker has to end, see Fleet.handleOvertaken.
+	lapse lapseState
+	// listsEndOfBoundGang is set from the newest poll answer, see Fleet.listsEndOfBoundGang.
+	listsEndOfBoundGang bool
 	// unackedEndCount is the number of ends in the last poll answer that were already recorded, but
 	// not yet acknowledged.
 	unackedEndCount int
@@ -159,8 +168,15 @@
 	// listed is true once the incarnation to which the start was addressed has listed the run as
 	// running in a poll answer.
 	listed bool
-	// longRunning is true for a run of a long-running task.
+	// startReceived is true once a worker is known to have executed or refused the start, or if the start was not
+	// sent. It is then not executed later.
+	startReceived bool
+	// isUnanswered is true once it is proposed to record the start as outstanding.
+	isUnanswered bool
+	// longRunning is true for a run of a long-running task. speculative is true if several runs of the task may
+	// execute at the same time.
 	longRunning bool
+	speculative bool
 	// startSentAt is when the start was ordered, or the time of the takeover if an earlier leader
 	// ordered it.
 	startSentAt time.Time
@@ -224,15 +240,18 @@
 // New returns a fleet for the leader of a term. The term must be higher than that of any earlier
 // leader, because it is the high part of the fencing tokens.
 func New(params Params, term uint64) *Fleet {
-	return &Fleet{params: params, term: term, workers: map[string]*Worker{}, workersByAddress: map[string][]*Worker{}, removedAt: map[string]time.Time{}, firstFailedOn: map[string]string{}, crashesByAddress: map[string]machineCrashes{}, pollPermits: map[incarnationKey]bool{}}
+	return &Fleet{params: params, term: term, workers: map[string]*Worker{}, workersByAddress: map[string][]*Worker{}, removedAt: map[string]time.Time{}, firstFailedOn: map[string]string{}, crashesByAddress: map[string]machineCrashes{}, pollPermits: map[incarnationKey]bool{}, outstanding: newOutstandingStarts()}
 }
 
 // TakeOver loads the recorded workers and the runs that the state assigns to workers.
 //
 // A run that no worker has listed may still be in flight as a start, and a later incarnation may
 // execute that start. The earlier leader may have sent orders that renew the lease until now. The
-// waits for such a run therefore begin now, not at its start.
+// waits for such a run, and for an outstanding start, therefore begin now, not at the start.
 func (f *Fleet) TakeOver(now time.Time, s *tbflow.State) {
+	for ref := range s.Outstanding {
+		f.updateOutstanding(now, s, ref)
+	}
 	for id, r := range s.Workers {
 		w := f.ensureWorker(id)
 		if l := s.Lost[id]; l.Incarnation == r.Incarnation {
@@ -256,7 +275,7 @@
 		s.EachRun(id, func(ref tbflow.TaskRef, t *tbflow.Task) {
 			run := &Run{Number: t.Run, Checkpoint: t.Checkpoint, Speed: FullSpeed, startSentAt: now, listed: s.IsListed(ref, t.Run)}
 			if step := s.StepOf(ref); step != nil {
-				run.SpeedUnknown, run.longRunning = step.BestEffort, step.LongRunning
+				run.SpeedUnknown, run.longRunning, run.speculative = step.BestEffort, step.LongRunning, step.Speculative
 			}
 			w.runs[ref] = run
 			age := time.Duration(s.NowMs-t.AssignedMs) * time.Millisecond
@@ -292,6 +311,7 @@
 	if w == nil {
 		w = &Worker{Report: Report{ID: id}, serial: f.nextSerial, runs: map[tbflow.TaskRef]*Run{}}
 		_, w.needsFence = f.removedAt[id]
+		w.needsFence = w.needsFence || len(f.outstanding.byWorker[id]) > 0
 		f.workers[id] = w
 		at, _ := f.indexOf(id)
 		f.sortedWorkers = slices.Insert(f.sortedWorkers, at, w)
@@ -385,7 +405,7 @@
 
 // Usable reports whether the worker may get a new task now.
 func (f *Fleet) Usable(w *Worker, now time.Time) bool {
-	return w.registered && !w.Draining && !w.Unresponsive && !w.needsFence && w.lastClockReading.isKnown() &&
+	return w.registered && !w.Draining && !w.Unresponsive && !w.needsFence && w.lapse != lapsing && w.lastClockReading.isKnown() &&
 		w.unackedEndCount < maxUnackedEnds && now.Sub(w.LastHeardAt) < f.params.SilenceTimeout && !now.Before(w.AvoidUntil) &&
 		!now.Before(w.ObservedUntil) && !f.hasOverdueStart(w, now)
 }
@@ -475,13 +495,21 @@
 // with the same ID could execute that start, because the new clock may be below the lease expiry in
 // the start. Such a run is therefore kept until latestRunEnd.
 //
-// If the worker was replaced, runs assigned to its current incarnation are given up at once,
-// because a worker with another ID refuses their starts.
+// If the worker was replaced, its runs are given up at once, because its incarnations have ended. The starts
+// that were not answered are outstanding.
 func (f *Fleet) giveUpRuns(now time.Time, w *Worker, cause string) {
 	cmd := tbflow.RecordEnds{Worker: w.ID, Incarnation: w.Incarnation}
 	var lost []tbflow.CrashedRun
 	for ref, r := range w.runs {
-		if r.Phase == RunEnding || r.earlierIncarnation != 0 || !w.replaced && r.mayBeAtLaterIncarnation() && now.Before(f.latestRunEnd(w, r)) {
+		if r.Phase == RunEnding || !w.replaced && (r.earlierIncarnation != 0 || r.mayBeAtLaterIncarnation() && now.Before(f.latestRunEnd(w, r))) {
+			continue
+		}
+		if w.replaced && !now.After(f.latestRunEnd(w, r)) && f.mayBeExecutedLater(r.startSentAt, r) {
+			f.proposeUnanswered(w, w.assignedIncarnation(r), ref, r)
+			continue
+		}
+		if r.earlierIncarnation != 0 {
+			f.proposeNeverRan(w, r.earlierIncarnation, ref, r)
 			continue
 		}
 		lost = append(lost, w.crashedRun(ref, r))
@@ -571,6 +599,9 @@
 		return 0
 	}
 	w.leaseRenewalSentAt = now
+	for _, o := range f.outstanding.byWorker[w.ID] {
+		o.renewedAt = now
+	}
 	w.leaseEndMs = clockMs + f.params.Lease.Milliseconds()
 	w.leaseExpiresAt = maxTime(w.leaseExpiresAt, now.Add(f.maxLeaseDuration(f.params.Lease)))
 	return w.leaseEndMs
--- a/core/tbfleet/observation.go
+++ b/core/tbfleet/observation.go
@@ -33,6 +33,17 @@
 	}
 }
 
+// IsObservingOther reports whether the worker has a run of another job's task that is suspected of crashes and not
+// proven.
+func (w *Worker) IsObservingOther(job string) bool {
+	for ref, r := range w.runs {
+		if r.observation > 0 && r.Phase != RunEnding && ref.Job != job {
+			return true
+		}
+	}
+	return false
+}
+
 // endObservations ends the observation of the runs that have proven that they do not crash the worker.
 func (f *Fleet) endObservations(w *Worker) {
 	var proven []tbflow.RunRef
--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -40,11 +40,11 @@
 		return
 	}
 	w := f.ensureWorker(a.Worker)
-	run := &Run{Number: a.Run, Phase: RunOrdered, Checkpoint: t.Checkpoint, Speed: FullSpeed, startSentAt: now, longRunning: j.Steps[a.Ref.Step].LongRunning}
+	run := &Run{Number: a.Run, Phase: RunOrdered, Checkpoint: t.Checkpoint, Speed: FullSpeed, startSentAt: now, longRunning: j.Steps[a.Ref.Step].LongRunning, speculative: j.Steps[a.Ref.Step].Speculative}
 	w.runs[a.Ref] = run
-	if !w.registered || w.Incarnation != a.Incarnation || !w.lastClockReading.isKnown() {
+	if !w.registered || w.Incarnation != a.Incarnation || !w.lastClockReading.isKnown() || w.lapse == lapsing {
 		// No order is sent: either the intended incarnation no longer exists, or no lease can be
-		// granted because its clock is unknown.
+		// granted because its clock is unknown or its lease has to end.
 		f.proposeNeverRan(w, a.Incarnation, a.Ref, run)
 		return
 	}
@@ -73,8 +73,8 @@
 // before the leader has seen that end.
 func (w *Worker) fenceOffAck() {
 	if w.ackInFlight {
-		w.serial++
-		w.ackInFlight, w.pollSuperseded = false, w.pollInFlight
+		w.raiseSerial()
+		w.ackInFlight = false
 	}
 }
 
@@ -87,6 +87,7 @@
 
 // HandleStartAnswered handles the result of a Start.
 func (f *Fleet) HandleStartAnswered(now time.Time, a StartAnswered) {
+	f.noteReceived(now, a)
 	w := f.workers[a.Worker]
 	if w == nil {
 		return
@@ -99,6 +100,7 @@
 	if run == nil {
 		return
 	}
+	run.startReceived = run.startReceived || a.Outcome != Unconfirmed
 	if run.Phase == RunEnding {
 		return
 	}
@@ -255,7 +257,19 @@
 			f.HandleAssignment(now, s, a)
 		}
 	case tbflow.RecordEnds:
+		for _, e := range c.Ends {
+			f.updateOutstanding(now, s, e.Ref)
+		}
+		f.handleRecordedEnds(now, s, c.Worker, c.Incarnation)
+	case tbflow.RecordUnanswered:
+		for _, r := range c.Runs {
+			f.updateOutstanding(now, s, r.Ref)
+		}
 		f.handleRecordedEnds(now, s, c.Worker, c.Incarnation)
+	case tbflow.RecordSettled:
+		for _, settled := range c.Starts {
+			f.updateOutstanding(now, s, settled.Ref)
+		}
 	}
 }
 
--- a/core/tbfleet/poll.go
+++ b/core/tbfleet/poll.go
@@ -16,13 +16,14 @@
 		}
 		f.reconcile(now, w)
 	}
+	f.settleExpired(now)
 	f.removeSilent(now)
 }
 
 // reconcile gives up the runs of a lost worker, and sends a registered worker the orders that are
 // due.
 func (f *Fleet) reconcile(now time.Time, w *Worker) {
-	if len(w.runs) == 0 && w.lastAckedEnd >= w.lastRecordedEnd && !w.Unresponsive && !w.needsFence && !now.Before(w.watchedUntil) {
+	if len(w.runs) == 0 && w.lastAckedEnd >= w.lastRecordedEnd && !w.Unresponsive && !w.needsFence && !f.outstanding.existAt(w) {
 		return
 	}
 	if (!w.registered || w.Unresponsive) && now.After(w.leaseExpiresAt) {
@@ -61,17 +62,17 @@
 		return
 	}
 	poll := Poll{Target: f.newTarget(w), Timeout: f.params.OrderTimeout}
-	if w.hasAnswered && !w.Unresponsive && w.lastAckedEnd < w.lastRecordedEnd && !w.hasUnconfirmedStart() {
+	if w.hasAnswered && !w.Unresponsive && w.lastAckedEnd < w.lastRecordedEnd && !w.hasUnconfirmedStart() && !f.holdsAcks(w) {
 		// Ends are acknowledged only to a worker that has answered as this incarnation. Another
 		// incarnation numbers its ends anew, and would discard its own ends with these numbers.
 		poll.LastRecordedEnd = w.lastRecordedEnd
 		w.ackInFlight = true
 	}
 	mayWait := w.hasAnswered && !w.Unresponsive && !w.needsRecheck()
-	if len(w.runs) > 0 && !w.Unresponsive {
+	if len(w.runs) > 0 && !w.Unresponsive && w.lapse != lapsing {
 		poll.LeaseEndMs = f.renewLease(now, w)
 	}
-	if (len(w.runs) > 0 || now.Before(w.watchedUntil)) && mayWait {
+	if (len(w.runs) > 0 || f.outstanding.existAt(w)) && mayWait {
 		poll.Wait = f.pollWait()
 		poll.Timeout += poll.Wait
 	}
@@ -99,7 +100,7 @@
 // confirmed.
 func (w *Worker) hasUnconfirmedStart() bool {
 	for _, run := range w.runs {
-		if run.Phase == RunOrdered || run.Phase == RunUnconfirmed && !run.listed {
+		if run.Phase == RunOrdered || run.Phase == RunUnconfirmed && !run.listed || run.isUnanswered {
 			return true
 		}
 	}
@@ -120,6 +121,9 @@
 // recheckPause is the pause before the next poll of a worker for which needsRecheck is true.
 const recheckPause = 50 * time.Millisecond
 
+// heldAckPause is the pause before the next poll of a worker that must not get acknowledgements of its ends.
+const heldAckPause = 100 * time.Millisecond
+
 // HandlePollAnswered handles the result of a Poll.
 func (f *Fleet) HandlePollAnswered(now time.Time, a PollAnswered) {
 	defer f.releasePermit(now, a)
@@ -181,14 +185,21 @@
 	f.forgetLost(w)
 	w.nextPollAt = time.Time{}
 	w.lastClockReading.update(now, a.SentAt, a.ClockMs, f.params.ClockRateBound)
+	w.listsAll, w.listsEndOfBoundGang = !a.Partial, f.listsEndOfBoundGang(a)
 	f.updateListedRuns(now, w, a)
 	f.endObservations(w)
+	f.handleOvertaken(now, w, a)
 	f.proposeEnds(now, w, a)
+	f.settleListed(now, w, a)
 	if !a.Partial {
 		f.resolveMissing(now, w, a)
 	}
-	if w.needsRecheck() {
+	switch {
+	case w.needsRecheck():
 		w.nextPollAt = now.Add(recheckPause)
+	case len(a.Ended) > 0 && f.holdsAcks(w):
+		// The worker answers each poll at once as long as it has ends that are not acknowledged.
+		w.nextPollAt = now.Add(heldAckPause)
 	}
 	f.reconcile(now, w)
 }
@@ -199,9 +210,10 @@
 func (f *Fleet) updateListedRuns(now time.Time, w *Worker, a PollAnswered) {
 	var firstListed []tbflow.RunRef
 	earlierStrays := w.Strays
-	w.Strays = nil
+	w.Strays, w.unreadable = nil, nil
 	for _, r := range a.Running {
 		if r.Run == 0 {
+			w.unreadable = append(w.unreadable, r.Ref)
 			continue
 		}
 		run := w.runs[r.Ref]
@@ -216,6 +228,7 @@
 			continue
 		}
 		if run.Phase != RunEnding {
+			run.startReceived = true
 			if !run.listed && run.earlierIncarnation == 0 {
 				run.listed = true
 				if run.longRunning {
@@ -272,7 +285,7 @@
 // proposeEnds proposes to record all listed ends that are not recorded yet.
 func (f *Fleet) proposeEnds(now time.Time, w *Worker, a PollAnswered) {
 	lastListedEnd := w.lastRecordedEnd
-	w.unackedEndCount = 0
+	w.unackedEndCount, w.unassignedEnds = 0, nil
 	cmd := tbflow.RecordEnds{Worker: w.ID, Incarnation: w.Incarnation}
 	for _, e := range a.Ended {
 		if e.Number <= w.lastRecordedEnd {
@@ -285,6 +298,14 @@
 		lastListedEnd = max(lastListedEnd, e.Number)
 		run := w.runs[e.Ref]
 		if run == nil || run.Number != e.Run {
+			if r := (tbflow.RunRef{Ref: e.Ref, Run: e.Run}); f.outstanding.findAt(w.ID, r) != nil && !f.isOvertaken(w, a, r) {
+				// The worker has executed an outstanding start.
+				w.unassignedEnds = append(w.unassignedEnds, r)
+				cmd.Ends = append(cmd.Ends, tbflow.End{Ref: e.Ref, Run: e.Run, Kind: e.Kind, Checkpoint: e.Checkpoint})
+			}
+			continue
+		}
+		if f.isOvertaken(w, a, tbflow.RunRef{Ref: e.Ref, Run: e.Run}) {
 			continue
 		}
 		run.Phase = RunEnding
@@ -310,10 +331,10 @@
 
 // resolveMissing handles runs that the worker lists neither as running nor as ended.
 //
-// It proposes to record EndNeverRan for a run whose start cannot be executed any more. In two
-// cases, the token of this poll has fenced off the start: an earlier leader sent it, or it was
-// addressed to an earlier incarnation. In the third case, the worker confirmed a stop before the
-// poll was sent, and refuses a later start of the run.
+// It proposes to end the assignment of a run that this incarnation will not execute any more. In two cases, the
+// token of this poll has fenced off the start: an earlier leader sent it, or it was addressed to an earlier
+// incarnation. In the third case, the worker confirmed a stop before the poll was sent, and refuses a later start
+// of the run. A later incarnation may still execute a start that got no answer, which is then outstanding.
 //
 // Any other executing run that is missing is stopped, unless the poll was sent before the run was
 // last confirmed. In that case, the lists may be those of an earlier incarnation.
@@ -335,11 +356,14 @@
 			// have acknowledged the ends of this one, which then lists none of its next ends, either.
 			f.addFailure(now, w)
 		}
-		if stopConfirmed && !run.isConfirmed {
-			f.watchForLateStart(w, run)
-		}
+		isResolved := run.Phase == RunUnknown || startFencedOff || stopConfirmed
 		switch {
-		case run.Phase == RunUnknown, startFencedOff, stopConfirmed:
+		case isResolved && f.mayBeExecutedLater(a.SentAt, run):
+			f.proposeUnanswered(w, w.assignedIncarnation(run), ref, run)
+			// The first poll that reaches a later incarnation fences off the start, even if it was sent before the
+			// leader knew of that incarnation.
+			w.raiseSerial()
+		case isResolved:
 			f.proposeNeverRan(w, w.assignedIncarnation(run), ref, run)
 		case run.Phase == RunExecuting && a.SentAt.After(run.confirmedAt):
 			run.stopRequested = true
@@ -347,13 +371,8 @@
 	}
 }
 
-// watchForLateStart watches a worker that has confirmed the stop of a run whose start was not answered.
-//
-// The worker refuses the start from now on, but its next incarnation would not: it knows neither the stop
-// nor the token, and the start may still be executed late. An open poll shows at once that the worker ends,
-// and the first poll that reaches the next incarnation brings a higher token than that of the start.
-func (f *Fleet) watchForLateStart(w *Worker, run *Run) {
-	w.watchedUntil = maxTime(w.watchedUntil, run.startSentAt.Add(f.params.MaxOrderDelay))
+// raiseSerial makes the worker refuse all orders that are in flight, once it has seen a later one.
+func (w *Worker) raiseSerial() {
 	w.serial++
 	w.pollSuperseded = w.pollInFlight
 }
--- a/core/tbflow/commands.go
+++ b/core/tbflow/commands.go
@@ -149,7 +149,7 @@
 type Reason string
 
 // Reasons for rejecting a command. NotReady means that the task's step depends on steps that are not
-// done.
+// done. StartOutstanding means that another worker may still execute a start of the task.
 const (
 	OK               Reason = ""
 	NoConfig         Reason = "noConfigurationYet"
@@ -164,4 +164,5 @@
 	AttemptsUsed     Reason = "attemptsUsed"
 	OtherIncarnation Reason = "otherLifeOfWorker"
 	WorkerDraining   Reason = "workerDraining"
+	StartOutstanding Reason = "startOutstanding"
 )
--- a/core/tbflow/state.go
+++ b/core/tbflow/state.go
@@ -56,6 +56,8 @@
 	Crashes map[TaskRef][]Crash
 	// Lost holds, by worker, the runs that were lost in silence.
 	Lost map[string]LostRuns
+	// Outstanding holds the outstanding starts of each task.
+	Outstanding map[TaskRef][]OutstandingStart
 
 	// activeJobs holds the jobs that have not ended, in order of submission.
 	activeJobs []*Job
@@ -76,7 +78,7 @@
 func New() *State {
 	return &State{
 		Jobs: map[string]*Job{}, Workers: map[string]*WorkerRecord{}, Listed: map[TaskRef]uint64{},
-		Crashes: map[TaskRef][]Crash{}, Lost: map[string]LostRuns{},
+		Crashes: map[TaskRef][]Crash{}, Lost: map[string]LostRuns{}, Outstanding: map[TaskRef][]OutstandingStart{},
 		assignedTasks: map[string]map[TaskRef]*Task{}, usageByWorker: map[string]Usage{}, runChanges: map[string]uint64{},
 	}
 }
@@ -189,6 +191,12 @@
 	case RecordProven:
 		s.recordProven(c)
 		return OK
+	case RecordUnanswered:
+		s.recordUnanswered(c)
+		return OK
+	case RecordSettled:
+		s.recordSettled(c)
+		return OK
 	case RecordDraining:
 		if w := s.ensureWorkerRecord(c.Worker, c.Incarnation); w.Incarnation == c.Incarnation {
 			w.Draining = true
@@ -296,6 +304,7 @@
 			continue
 		}
 		s.removeCrashes(j)
+		s.removeOutstandingOf(j)
 		s.jobBytes -= j.storedBytes()
 		delete(s.Jobs, j.ID)
 	}
@@ -331,6 +340,8 @@
 		return AttemptsUsed
 	case !j.StepReady(a.Ref.Occurrence, a.Ref.Step):
 		return NotReady
+	case !s.MayAssign(a.Ref, a.Worker):
+		return StartOutstanding
 	}
 	w := s.ensureWorkerRecord(a.Worker, a.Incarnation)
 	switch {
@@ -436,15 +447,23 @@
 	}
 	t := j.Task(e.Ref)
 	if t == nil || t.Phase != TaskAssigned || t.Run != e.Run || t.Worker != worker || t.Incarnation != incarnation {
+		if t != nil {
+			s.endOutstanding(worker, j, t, e)
+		}
 		return
 	}
-	step := &j.Steps[e.Ref.Step]
 	s.removeRun(j, e.Ref, t)
+	s.applyEnd(worker, j, t, e)
+}
+
+// applyEnd applies the end of a run, which is not assigned any more, to its task and its job.
+func (s *State) applyEnd(worker string, j *Job, t *Task, e End) {
+	step := &j.Steps[e.Ref.Step]
 	j.HasRun = j.HasRun || e.Kind != EndNeverRan
 	if j.Phase == Running && !j.HasRun && !j.hasAssignedTask() {
 		j.Phase = Queued
 	}
-	if e.Checkpoint != "" && !step.LongRunning {
+	if e.Checkpoint != "" && !step.LongRunning && t.Phase == TaskWaiting {
 		t.Checkpoint = e.Checkpoint
 	}
 	switch {
--- a/core/tbflow/suspicion.go
+++ b/core/tbflow/suspicion.go
@@ -11,24 +11,35 @@
 func MustGiveUp(crashes []Crash) bool {
 	n := SuspectedCrashes(crashes)
 	threshold, ok := permilleToGiveUp[n]
-	return n >= maxCrashes || ok && suspicionPermille(crashes) >= threshold
+	return n >= maxCrashes || ok && SuspicionPermille(crashes) >= threshold
 }
 
-// suspicionPermille returns how much the crashes point at a task, in thousandths. Only the most telling
-// crash of each machine counts, because a machine may crash by itself again and again.
-func suspicionPermille(crashes []Crash) int {
-	byAddress := map[string]int{}
+// SuspicionPermille returns how much the crashes point at a task, in thousandths. Only the most telling
+// crash of each machine counts, because a machine may crash by itself again and again. But a run that was started
+// there because the start before it got no answer counts again, if it is known that the machine crashed just when it
+// began.
+func SuspicionPermille(crashes []Crash) int {
+	byAddress, sum := map[string]int{}, 0
 	for i := range crashes {
 		c := &crashes[i]
+		if i > 0 && c.isRepeated(&crashes[i-1]) {
+			sum += c.SuspicionPermille
+			continue
+		}
 		byAddress[c.Address] = max(byAddress[c.Address], c.SuspicionPermille)
 	}
-	sum := 0
 	for _, share := range byAddress {
 		sum += share
 	}
 	return sum
 }
 
+// isRepeated reports whether a task was started again on the machine of the crash before, and crashed it before it
+// was known to execute.
+func (c *Crash) isRepeated(before *Crash) bool {
+	return c.Address == before.Address && c.Run == before.Run+1 && c.RanMs == 0 && c.AgeMs > 0
+}
+
 // Weights of the suspects of a crash. They are integers, so that all replicas compute the same.
 const (
 	// A run with the age ageMs at the crash has the weight weightOfAge / (ageMs + ageOffsetMs).
--- a/io/tbflowcodec/codec.go
+++ b/io/tbflowcodec/codec.go
@@ -20,6 +20,7 @@
 		tbflow.RecordEnds{}, tbflow.RecordDraining{},
 		tbflow.RecordWorker{}, tbflow.RemoveWorker{}, tbflow.RecordInterference{},
 		tbflow.RecordListed{}, tbflow.RecordCrash{}, tbflow.RecordLost{}, tbflow.RecordProven{},
+		tbflow.RecordUnanswered{}, tbflow.RecordSettled{},
 	}
 	leaderRequestTypes = []any{
 		tbcontrol.SubmitRequested{}, tbcontrol.CancelRequested{}, tbcontrol.JobStateRequested{}, tbcontrol.QueueLengthRequested{},
@@ -77,6 +78,13 @@
 	Listed       []tbflow.RunRef
 	Crashes      []taskCrashes
 	Lost         map[string]tbflow.LostRuns
+	Outstanding  []taskStarts
+}
+
+// taskStarts holds the outstanding starts of one task.
+type taskStarts struct {
+	Ref    tbflow.TaskRef
+	Starts []tbflow.OutstandingStart
 }
 
 // taskCrashes holds the recorded crashes of one task.
@@ -87,7 +95,7 @@
 
 // DecodeMsgpack decodes the fields in order, as far as the encoding contains them.
 func (st *storedState) DecodeMsgpack(d *msgpack.Decoder) error {
-	fields := []any{&st.NowMs, &st.Config, &st.Jobs, &st.Workers, &st.NextSeq, &st.Interference, &st.Listed, &st.Crashes, &st.Lost}
+	fields := []any{&st.NowMs, &st.Config, &st.Jobs, &st.Workers, &st.NextSeq, &st.Interference, &st.Listed, &st.Crashes, &st.Lost, &st.Outstanding}
 	n, err := d.DecodeArrayLen()
 	if err != nil {
 		return err
@@ -115,6 +123,9 @@
 	for ref, crashes := range s.Crashes {
 		st.Crashes = append(st.Crashes, taskCrashes{Ref: ref, Crashes: crashes})
 	}
+	for ref, starts := range s.Outstanding {
+		st.Outstanding = append(st.Outstanding, taskStarts{Ref: ref, Starts: starts})
+	}
 	return encode(st)
 }
 
@@ -144,6 +155,9 @@
 	for id, l := range st.Lost {
 		s.Lost[id] = l
 	}
+	for _, o := range st.Outstanding {
+		s.Outstanding[o.Ref] = o.Starts
+	}
 	s.Rebuild()
 	return s, nil
 }
