Bound the polls of workers whose ends are held back

Cause: a worker answers a poll at once as long as it has ends that are not acknowledged, and no ends are acknowledged while a start there is outstanding. Each of these workers was polled ten times a second, so that a few hundred of them would have taken all of the leader's time. Change: at most 1,000 such polls a second in all.

--- a/core/tbfleet/lapse.go
+++ b/core/tbfleet/lapse.go
@@ -24,6 +24,9 @@
 	hasLapsed
 )
 
+// IsLapsing reports whether the worker gets no tasks because its lease has to end.
+func (w *Worker) IsLapsing() bool { return w.lapse == lapsing }
+
 // handleOvertaken lets the lease of a worker end if its lists show that an outstanding start was executed after the
 // end of an earlier run of the task. It notices when the lease has ended.
 func (f *Fleet) handleOvertaken(now time.Time, w *Worker, a PollAnswered) {
--- a/core/tbfleet/poll.go
+++ b/core/tbfleet/poll.go
@@ -121,8 +121,18 @@
 // recheckPause is the pause before the next poll of a worker for which needsRecheck is true.
 const recheckPause = 50 * time.Millisecond
 
-// heldAckPause is the pause before the next poll of a worker that must not get acknowledgements of its ends.
-const heldAckPause = 100 * time.Millisecond
+// Polls of workers that must not get acknowledgements of their ends. They are answered at once, so that the pause
+// between two of them bounds what they cost the leader.
+const (
+	// minHeldAckPause is the pause between two polls of one of these workers.
+	minHeldAckPause = 100 * time.Millisecond
+	// maxHeldPollsPerSecond is the largest number of such polls in a second, of all these workers together.
+	maxHeldPollsPerSecond = 1000
+)
+
+func (f *Fleet) heldAckPause() time.Duration {
+	return max(minHeldAckPause, time.Duration(len(f.outstanding.byWorker))*time.Second/maxHeldPollsPerSecond)
+}
 
 // HandlePollAnswered handles the result of a Poll.
 func (f *Fleet) HandlePollAnswered(now time.Time, a PollAnswered) {
@@ -199,7 +209,7 @@
 		w.nextPollAt = now.Add(recheckPause)
 	case len(a.Ended) > 0 && f.holdsAcks(w):
 		// The worker answers each poll at once as long as it has ends that are not acknowledged.
-		w.nextPollAt = now.Add(heldAckPause)
+		w.nextPollAt = now.Add(f.heldAckPause())
 	}
 	f.reconcile(now, w)
 }
--- a/core/tbfleet/schedule_test.go
+++ b/core/tbfleet/schedule_test.go
@@ -277,6 +277,11 @@
 		if v == nil || v.Incarnation != fw.incarnation {
 			sim.failf("%s/%d is not known to the leader", fw.id, fw.incarnation)
 		}
+		// A worker whose lease has to end gets no tasks for as long as the longest lease; checkSettled checks that it
+		// is usable then.
+		if v.IsLapsing() {
+			return
+		}
 		// A worker that has recently failed is rightly avoided for a while, and one with a task that is
 		// suspected of crashes is rightly observed for a while.
 		if v.ObservedUntil.Sub(sim.now) > maxObservation {
@@ -306,6 +311,11 @@
 // checkSettled checks that short jobs have ended and that long-running jobs are running.
 func (sim *simulation) checkSettled() {
 	sim.t.Helper()
+	sim.eachWorker(func(fw *fakeWorker) {
+		if v := sim.leader.fleet.Worker(fw.id); v != nil && v.IsLapsing() {
+			sim.failf("the lease of %s/%d has not ended", fw.id, fw.incarnation)
+		}
+	})
 	for _, id := range sim.jobIDs {
 		j := sim.state.Jobs[id]
 		if !j.Phase.Ended() && !j.Steps[0].LongRunning {
