--- a/core/tbfleet/lapse.go
+++ b/core/tbfleet/lapse.go
@@ -7,10 +7,10 @@
 	"tamarackbarrow/core/tbflow"
 )
 
-// A worker that restarts twice within seconds, while orders are late, may execute two outstanding starts of one task one
-// after the other, before any poll reaches it: the earlier run is done, and the task runs again. The done end must
-// never be acknowledged then, because no task starts after its acknowledged end as done. An end that a worker lists
-// while its lease ends is void. The leader therefore lets the lease of the worker end before it acknowledges anything.
+// A worker that restarts while two starts of a task are outstanding may execute them one after the other before any
+// poll reaches it: the earlier run is done, and the task runs again. The end as done must not be acknowledged then,
+// because no task may start after its acknowledged end as done. An end that was not acknowledged when the lease of its
+// worker ended is void. The leader therefore lets the lease end before it acknowledges any end of the worker.
 
 // lapseState says whether the lease of an incarnation has to end.
 type lapseState uint8
--- a/core/tbfleet/outstanding.go
+++ b/core/tbfleet/outstanding.go
@@ -266,7 +266,7 @@
 		return
 	}
 	slices.SortFunc(starts, func(a, b *outstandingStart) int {
-		return cmp.Or(cmp.Compare(a.ref.String(), b.ref.String()), cmp.Compare(a.Worker, b.Worker), cmp.Compare(a.Address, b.Address))
+		return cmp.Or(cmp.Compare(a.ref.String(), b.ref.String()), cmp.Compare(a.Run, b.Run))
 	})
 	var cmd tbflow.RecordSettled
 	for _, o := range starts {
