Say in the doc comments of packages what an outstanding start is

Cause: the list of what settles a run left out the incarnations after the one that answers. Change: doc.go of core/tbfleet and the comment on EndNeverRan; no code.

--- a/core/tbfleet/doc.go
+++ b/core/tbfleet/doc.go
@@ -8,6 +8,9 @@
 //   - The worker has restarted or was replaced, and the start cannot be executed any more.
 //   - Every lease that the run may have has expired.
 //
+// A start without an answer may be executed by a later incarnation even then. It is outstanding, and its task is
+// bound to the place of the start until the start can have no effect (see tbflow.OutstandingStart).
+//
 // The view is lost with a change of leader. The new leader has a higher fencing token and polls
 // each worker whose address is recorded. A worker gets new tasks only after it has answered that
 // poll.
--- a/core/tbflow/commands.go
+++ b/core/tbflow/commands.go
@@ -50,8 +50,8 @@
 	// because its gang was incomplete, or its lease expired.
 	EndStopped
 	// EndNeverRan means that the run is treated as never executed. In one case, its start was not
-	// executed and can no longer be executed. In the other case, it is unknown whether the start
-	// was executed, and any lease of the run has expired.
+	// executed and can no longer be executed, or is recorded as outstanding (see RecordUnanswered). In the
+	// other case, it is unknown whether the start was executed, and any lease of the run has expired.
 	EndNeverRan
 )
 
