--- a/core/tbflow/suspicion.go
+++ b/core/tbflow/suspicion.go
@@ -15,9 +15,9 @@
 }
 
 // SuspicionPermille returns how much the crashes point at a task, in thousandths. Only the most telling
-// crash of each machine counts, because a machine may crash by itself again and again. But a run that was started
-// there because the start before it got no answer counts again, if it is known that the machine crashed just when it
-// began.
+// crash of each machine counts, because a machine may crash by itself again and again. But the next run of the task
+// counts again if it was started on the same machine, as after an unanswered start, and the machine crashed just when
+// that run began.
 func SuspicionPermille(crashes []Crash) int {
 	byAddress, sum := map[string]int{}, 0
 	for i := range crashes {
