Test that tasks of workers that are gone are free soon

Cause: a long-running task of a worker that drained and is gone without a sign-off waits for 22 s, and answered renewals prolong the wait for a worker that was lost.

--- /dev/null
+++ b/core/tbfleet/gone_test.go
@@ -0,0 +1,136 @@
+package tbfleet_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"tamarackbarrow/core/tbfleet"
+	"tamarackbarrow/core/tbflow"
+)
+
+// startAgain starts the second run of the task, which the worker executes and lists.
+func (fx *boundFixture) startAgain() {
+	fx.fleet.HandleStartAnswered(fx.now, fx.worker.startRun(fx.now, fx.assignAgain(), time.Hour))
+	fx.run(300*time.Millisecond, true)
+}
+
+// announceEnd lets the worker report that it drains.
+func (fx *boundFixture) announceEnd() {
+	fx.worker.lastSequence++
+	fx.fleet.HandleReport(fx.now, tbfleet.Report{
+		ID: "w", Address: "a:1", Incarnation: fx.worker.incarnation, Class: "c", ClockMs: fx.worker.clockMs(fx.now),
+		Sequence: fx.worker.lastSequence, Draining: true,
+	})
+	fx.apply(tbflow.RecordDraining{Worker: "w", Incarnation: fx.worker.incarnation})
+}
+
+// drain lets the worker announce its end and serve on for the drain time.
+func (fx *boundFixture) drain() {
+	fx.announceEnd()
+	fx.run(2*time.Second, true)
+}
+
+// A worker drained and was gone without signing off. An earlier start of its long-running task had got no answer, and the
+// task waited for 22 s.
+func TestTaskOfUnansweredStartIsFreeOnceItsDrainedWorkerIsGone(t *testing.T) {
+	fx := newBoundFixtureOf(true)
+	fx.runUntilWaiting(t)
+	fx.run(300*time.Millisecond, true)
+	fx.startAgain()
+	fx.drain()
+	fx.worker.crash()
+	fx.checkFreeAfterSignOff(t, fx.now)
+}
+
+// A worker drained and was gone while the start of a long-running task had no answer. The run was given up 22 s later.
+func TestUnansweredStartIsGivenUpOnceItsDrainedWorkerIsGone(t *testing.T) {
+	fx := newBoundFixtureOf(true)
+	fx.announceEnd()
+	fx.worker.crash()
+	fx.checkFreeAfterSignOff(t, fx.now)
+}
+
+// A worker signed off while the start of a long-running task had no answer, and answered nothing any more. The run was
+// given up 22 s later.
+func TestUnansweredStartIsGivenUpOnceItsSilentWorkerHasSignedOff(t *testing.T) {
+	fx := newBoundFixtureOf(true)
+	fx.announceEnd()
+	fx.fleet.HandleSignOff(fx.now, "w")
+	fx.worker.crash()
+	fx.checkFreeAfterSignOff(t, fx.now)
+}
+
+// A leader that took over after a drained worker was gone waited 22 s from its takeover for the worker's starts.
+func TestNextLeaderKnowsThatADrainedWorkerIsGone(t *testing.T) {
+	fx := newBoundFixtureOf(true)
+	fx.runUntilWaiting(t)
+	fx.run(300*time.Millisecond, true)
+	fx.startAgain()
+	fx.drain()
+	fx.worker.crash()
+	fx.run(time.Second, false)
+	fx.takeOver()
+	fx.reportOther()
+	fx.checkFreeAfterSignOff(t, fx.now)
+}
+
+// The run of a drained worker that is out of reach goes on until its lease expires, so its task may not start elsewhere
+// before.
+func TestDrainedWorkerOutOfReachKeepsItsTasksUntilItsLeaseExpires(t *testing.T) {
+	fx := newBoundFixtureOf(true)
+	fx.runUntilWaiting(t)
+	fx.run(300*time.Millisecond, true)
+	fx.startAgain()
+	fx.drain()
+	for len(fx.worker.running) > 0 {
+		qt.Assert(t, fx.state.IsBound(fx.ref) && !fx.mayStartAt("other"), qt.IsTrue)
+		fx.run(tick, false)
+	}
+}
+
+// A worker that restarts under its ID behind a partition after it drained is not taken for one that is gone once it
+// answers again before its lease has expired.
+func TestDrainedWorkerThatReturnsKeepsItsUnansweredStarts(t *testing.T) {
+	fx := newBoundFixtureOf(true)
+	fx.runUntilWaiting(t)
+	fx.drain()
+	fx.restart(100 * time.Millisecond)
+	fx.sendReport()
+	fx.run(5*time.Second, true)
+	qt.Check(t, fx.state.IsBound(fx.ref), qt.IsTrue)
+	qt.Check(t, fx.mayStartAt("other"), qt.IsFalse)
+}
+
+// A worker that announced no end is waited for, because it may return under its ID and execute a start late.
+func TestLostWorkerThatDidNotDrainKeepsItsUnansweredStarts(t *testing.T) {
+	fx := newBoundFixtureOf(true)
+	fx.runUntilWaiting(t)
+	sentAt := fx.now
+	fx.run(300*time.Millisecond, true)
+	fx.worker.crash()
+	fx.run(maxOrderDelay+params.MaxLease-fx.now.Sub(sentAt), false)
+	fx.reportOther()
+	qt.Check(t, fx.mayStartAt("other"), qt.IsFalse)
+}
+
+// A worker renewed its lease until it was lost without a word. Its tasks waited for the longest delay and a lease after the
+// last renewal, although each renewal but the last had been answered, which are not executed again.
+func TestAnsweredRenewalsDoNotProlongTheWaitForALostWorker(t *testing.T) {
+	for _, lostAfter := range []time.Duration{2 * time.Second, 5 * time.Second, 8 * time.Second} {
+		fx := newBoundFixtureOf(true)
+		sentAt := fx.now
+		fx.runUntilWaiting(t)
+		fx.run(300*time.Millisecond, true)
+		fx.startAgain()
+		startedAgainAt := fx.now
+		fx.run(lostAfter, true)
+		fx.worker.crash()
+		for fx.state.IsBound(fx.ref) || fx.task("j").Phase == tbflow.TaskAssigned {
+			qt.Assert(t, fx.now.Sub(startedAgainAt) < maxOrderDelay+maxReturnTime, qt.IsTrue, qt.Commentf("lost after %v", lostAfter))
+			fx.run(100*time.Millisecond, false)
+		}
+		qt.Check(t, fx.now.Sub(sentAt) >= maxOrderDelay+params.MaxLease, qt.IsTrue)
+	}
+}
--- a/core/tbfleet/signed_off_test.go
+++ b/core/tbfleet/signed_off_test.go
@@ -16,13 +16,7 @@
 
 // signOff lets the worker drain and sign off. It executes its runs until it ends a second later.
 func (fx *boundFixture) signOff() {
-	fx.worker.lastSequence++
-	fx.fleet.HandleReport(fx.now, tbfleet.Report{
-		ID: "w", Address: "a:1", Incarnation: fx.worker.incarnation, Class: "c", ClockMs: fx.worker.clockMs(fx.now),
-		Sequence: fx.worker.lastSequence, Draining: true,
-	})
-	fx.apply(tbflow.RecordDraining{Worker: "w", Incarnation: fx.worker.incarnation})
-	fx.run(2*time.Second, true)
+	fx.drain()
 	fx.fleet.HandleSignOff(fx.now, "w")
 	fx.run(time.Second, false)
 	fx.worker.crash()
