Give the fleet fields for the time of sending of orders

Cause: MaxOrderDelay counts from the decision on an order, because the fleet does not know when the order was sent. Nothing sets SentBefore or reads either yet.

--- a/core/tbfleet/types.go
+++ b/core/tbfleet/types.go
@@ -13,8 +13,13 @@
 	Lease time.Duration
 	// MaxLease is the longest lease that any earlier leader may have granted.
 	MaxLease time.Duration
-	// MaxOrderDelay is the longest time from sending an order to its execution by a worker.
+	// MaxOrderDelay is the longest time from the decision of the Fleet on an order to the execution of
+	// the order by a worker. It contains MaxDeliveryDelay and the longest time until the order is sent,
+	// by the leader or by a relay.
 	MaxOrderDelay time.Duration
+	// MaxDeliveryDelay is the longest time from the sending of an order, which SentBefore in its result
+	// bounds, to its execution by a worker.
+	MaxDeliveryDelay time.Duration
 	// ClockRateBound is the largest fraction by which a worker's clock may be slow, for example
 	// 0.01 for 1 percent.
 	ClockRateBound float64
@@ -153,6 +158,9 @@
 	Cause string
 	// ClockMs is the answering worker's monotonic clock in milliseconds, or 0 if not given.
 	ClockMs int64
+	// SentBefore is a time on the leader's clock after which no part of the order was sent. It is zero
+	// if no such time is known.
+	SentBefore time.Time
 }
 
 // StopAnswered is the result of a Stop: its answer, or that there was none.
@@ -177,6 +185,9 @@
 	// Percent is the speed that was ordered, in percent of full speed.
 	Percent int
 	Outcome Outcome
+	// SentBefore is a time on the leader's clock after which no part of the order was sent. It is zero
+	// if no such time is known.
+	SentBefore time.Time
 }
 
 // ListedRun is a run that a worker lists as running.
@@ -214,9 +225,12 @@
 	Worker string
 	// Incarnation is the incarnation to which the poll was addressed. ActualIncarnation may differ.
 	Incarnation int64
-	// SentAt is when the poll was sent. LastRecordedEnd is the number up to which the poll
-	// acknowledged ends, or 0 if it acknowledged none.
-	SentAt          time.Time
+	// SentAt is a time before which the poll was not sent. LastRecordedEnd is the number up to which
+	// the poll acknowledged ends, or 0 if it acknowledged none.
+	SentAt time.Time
+	// SentBefore is a time on the leader's clock after which no part of the poll was sent. It is zero if
+	// no such time is known.
+	SentBefore      time.Time
 	LastRecordedEnd uint64
 	Outcome         Outcome
 	// Cause says why there was no answer. CauseDisconnected means that the worker closed the connection.
