--- a/io/tbdaemon/adapter.go
+++ b/io/tbdaemon/adapter.go
@@ -8,7 +8,7 @@
 )
 
 // WorkerTransport sends orders to the workers of an external platform. Each call blocks until the
-// worker answers or the order times out.
+// worker answers or the order times out. SentBefore in the answers is on the clock of Daemon.Now.
 //
 // Workers that announce themselves to an entry need no WorkerTransport. They get their orders in the
 // answers to their announcements and through WorkerService.
--- a/io/tbdaemon/clock.go
+++ b/io/tbdaemon/clock.go
@@ -22,6 +22,10 @@
 // Now returns the current time without a monotonic clock reading.
 func (c clock) Now() time.Time { return time.Unix(0, int64(readBootTime()+c.offset)) }
 
+// Now returns the time on the daemon's clock, which also advances while the instance is suspended. The
+// times in results of orders are on this clock.
+func (d *Daemon) Now() time.Time { return d.clock.Now() }
+
 func readBootTime() time.Duration {
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
