Carry the time of sending of orders to the leader

Cause: the leader knew of an order only when it had issued it, also where a relay returned a result. Change: a result of a relay has the time since the sending, on the relay's clock, which also counts suspensions. The leader subtracts it, reduced by the bound on clock rates, from the arrival of the result, so the time is never too early. It is unknown for orders that were not sent, whose relay was lost or returned nothing, for results that cannot be decoded or come from an earlier version, and for times before the issue of the order.

--- a/core/tbcontrol/leader_load_bench_test.go
+++ b/core/tbcontrol/leader_load_bench_test.go
@@ -52,11 +52,11 @@
 	var message proto.Message
 	switch ev := ev.(type) {
 	case tbcontrol.StartAnswered:
-		message = tbcodec.ResultToWire(1, tbcodec.OrderResult{Outcome: ev.Answer.Outcome, Cause: ev.Answer.Cause, ClockMs: ev.Answer.ClockMs})
+		message = tbcodec.ResultToWire(1, tbcodec.OrderResult{Outcome: ev.Answer.Outcome, Cause: ev.Answer.Cause, ClockMs: ev.Answer.ClockMs}, time.Time{})
 	case tbcontrol.PollAnswered:
 		message = tbcodec.ResultToWire(1, tbcodec.OrderResult{
 			Outcome: ev.Answer.Outcome, ClockMs: ev.Answer.ClockMs, ActualIncarnation: ev.Answer.ActualIncarnation, Running: ev.Answer.Running, Ended: ev.Answer.Ended,
-		})
+		}, time.Time{})
 	case tbcontrol.MessagesArrived:
 		wire := &pb.DeliverRequest{}
 		for _, message := range ev.Messages {
@@ -117,7 +117,7 @@
 	default:
 		var message pb.RelayedResult
 		if err = proto.Unmarshal(wire, &message); err == nil {
-			_, err = tbcodec.ResultFromWire(&message)
+			_, err = tbcodec.ResultFromWire(&message, time.Time{}, 0)
 		}
 	}
 	if err != nil {
--- a/io/tbcodec/relay.go
+++ b/io/tbcodec/relay.go
@@ -73,6 +73,9 @@
 type OrderResult struct {
 	Outcome tbfleet.Outcome
 	Cause   string
+	// SentBefore is a time on the clock of the process that holds the result. After it, no part of the
+	// order was sent. It is zero if no such time is known.
+	SentBefore time.Time
 	// The other fields have the meaning that they have in tbfleet.PollAnswered. ClockMs is also set
 	// for a start.
 	ClockMs           int64
@@ -82,11 +85,15 @@
 	Ended             []tbfleet.ListedEnd
 }
 
-// ResultToWire encodes the result of the order with the given id.
-func ResultToWire(id uint64, r OrderResult) *pb.RelayedResult {
+// ResultToWire encodes the result of the order with the given id. now is the time on the clock of
+// r.SentBefore.
+func ResultToWire(id uint64, r OrderResult, now time.Time) *pb.RelayedResult {
 	m := &pb.RelayedResult{
 		Id: id, Outcome: uint32(r.Outcome), Cause: r.Cause, ClockMs: r.ClockMs, ActualIncarnation: r.ActualIncarnation, Partial: r.Partial,
 	}
+	if !r.SentBefore.IsZero() {
+		m.SinceSentNs = max(0, int64(now.Sub(r.SentBefore)))
+	}
 	for _, run := range r.Running {
 		m.Running = append(m.Running, &pb.RelayedRun{
 			Task: positionToWire(run.Ref), Run: run.Run, Checkpoint: run.Checkpoint, Progress: uint32(run.Progress), Measurement: run.Measurement,
@@ -98,15 +105,21 @@
 	return m
 }
 
-// ResultFromWire decodes a result. It returns an error if the outcome or the kind of an end is
-// unknown.
-func ResultFromWire(m *pb.RelayedResult) (OrderResult, error) {
+// ResultFromWire decodes a result. now is when the result arrived, on the receiver's clock.
+// clockRateBound is the largest relative difference between the rates of the clocks of sender and
+// receiver. ResultFromWire returns an error if the outcome or the kind of an end is unknown.
+func ResultFromWire(m *pb.RelayedResult, now time.Time, clockRateBound float64) (OrderResult, error) {
 	r := OrderResult{
 		Outcome: tbfleet.Outcome(m.GetOutcome()), Cause: m.GetCause(), ClockMs: m.GetClockMs(), ActualIncarnation: m.GetActualIncarnation(), Partial: m.GetPartial(),
 	}
 	if m.GetOutcome() > uint32(tbfleet.NotSent) {
 		return OrderResult{}, fmt.Errorf("result of an order: unknown outcome %d", m.GetOutcome())
 	}
+	// SentBefore must not be too early, so the time since the sending must not be too long: the sender's clock
+	// may be fast. Time that either clock does not count, and that on the way here, only makes SentBefore later.
+	if sinceSent := time.Duration(float64(m.GetSinceSentNs()) * (1 - clockRateBound)); sinceSent > 0 {
+		r.SentBefore = now.Add(-sinceSent)
+	}
 	for _, run := range m.GetRunning() {
 		r.Running = append(r.Running, tbfleet.ListedRun{
 			Ref: positionFromWire(run.GetTask()), Run: run.GetRun(), Checkpoint: run.GetCheckpoint(), Progress: int(run.GetProgress()), Measurement: run.GetMeasurement(),
--- a/io/tbdaemon/orders.go
+++ b/io/tbdaemon/orders.go
@@ -18,7 +18,7 @@
 	case tbfleet.Start:
 		latencyName = latencyWorkerStart
 		a := d.adapter.Start(d.ctx, o)
-		r = tbcodec.OrderResult{Outcome: a.Outcome, Cause: a.Cause, ClockMs: a.ClockMs}
+		r = tbcodec.OrderResult{Outcome: a.Outcome, Cause: a.Cause, SentBefore: a.SentBefore, ClockMs: a.ClockMs}
 	case tbfleet.Stop:
 		latencyName = latencyWorkerStop
 		r = tbcodec.OrderResult{Outcome: d.adapter.Stop(d.ctx, o).Outcome}
@@ -26,11 +26,13 @@
 		latencyName = latencyWorkerPoll
 		a := d.adapter.Poll(d.ctx, o)
 		r = tbcodec.OrderResult{
-			Outcome: a.Outcome, Cause: a.Cause, ClockMs: a.ClockMs, ActualIncarnation: a.ActualIncarnation, Partial: a.Partial, Running: a.Running, Ended: a.Ended,
+			Outcome: a.Outcome, Cause: a.Cause, SentBefore: a.SentBefore, ClockMs: a.ClockMs,
+			ActualIncarnation: a.ActualIncarnation, Partial: a.Partial, Running: a.Running, Ended: a.Ended,
 		}
 	case tbfleet.SetSpeed:
 		latencyName = latencyWorkerSpeed
-		r = tbcodec.OrderResult{Outcome: d.adapter.SetSpeed(d.ctx, o).Outcome}
+		a := d.adapter.SetSpeed(d.ctx, o)
+		r = tbcodec.OrderResult{Outcome: a.Outcome, SentBefore: a.SentBefore}
 	}
 	d.counters.histograms.observe(latencyName, time.Since(start))
 	return r
@@ -52,10 +54,16 @@
 
 // resultEvent returns the event that reports the result of an order.
 func resultEvent(o tbrelay.PendingOrder, r tbcodec.OrderResult) tbcontrol.Event {
+	sentBefore := r.SentBefore
+	if sentBefore.Before(o.IssuedAt) {
+		// No order is sent before it is issued, so the clock that measured this is wrong.
+		sentBefore = time.Time{}
+	}
 	switch order := o.Order.(type) {
 	case tbfleet.Start:
 		return tbcontrol.StartAnswered{Term: o.Term, Answer: tbfleet.StartAnswered{
 			Worker: order.Target.ID, Incarnation: order.Target.Incarnation, Ref: order.Ref, Run: order.Run, Outcome: r.Outcome, Cause: r.Cause, ClockMs: r.ClockMs,
+			SentBefore: sentBefore,
 		}}
 	case tbfleet.Stop:
 		return tbcontrol.StopAnswered{Term: o.Term, Answer: tbfleet.StopAnswered{
@@ -64,13 +72,14 @@
 	case tbfleet.SetSpeed:
 		return tbcontrol.SpeedAnswered{Term: o.Term, Answer: tbfleet.SpeedAnswered{
 			Worker: order.Target.ID, Incarnation: order.Target.Incarnation, Ref: order.Ref, Run: order.Run, Percent: order.Percent, Outcome: r.Outcome,
+			SentBefore: sentBefore,
 		}}
 	}
 	order := o.Order.(tbfleet.Poll)
 	return tbcontrol.PollAnswered{Term: o.Term, Answer: tbfleet.PollAnswered{
 		Worker: order.Target.ID, Incarnation: order.Target.Incarnation, LastRecordedEnd: order.LastRecordedEnd, Outcome: r.Outcome,
 		// The answer shows the worker's state at some time after the order was issued.
-		SentAt: o.IssuedAt, ActualIncarnation: r.ActualIncarnation, ClockMs: r.ClockMs,
+		SentAt: o.IssuedAt, SentBefore: sentBefore, ActualIncarnation: r.ActualIncarnation, ClockMs: r.ClockMs,
 		Running: r.Running, Ended: r.Ended, Partial: r.Partial, Cause: r.Cause,
 	}}
 }
--- a/io/tbdaemon/relay.go
+++ b/io/tbdaemon/relay.go
@@ -219,6 +219,7 @@
 // handleResults handles results that a relay has returned. Results of orders that are no longer
 // pending are ignored.
 func (s *orderSender) handleResults(results []*pb.RelayedResult) {
+	now := s.d.clock.Now()
 	events := make([]tbnode.Event, 0, len(results))
 	for _, m := range results {
 		s.mu.Lock()
@@ -228,7 +229,7 @@
 			s.d.counters.add("relay.lateResult")
 			continue
 		}
-		r, err := tbcodec.ResultFromWire(m)
+		r, err := tbcodec.ResultFromWire(m, now, s.d.settings.Times.ClockRateBound)
 		if err != nil {
 			s.d.log.Error("cannot decode the result of a relayed order", "relay", o.Relay, "error", err)
 			r = tbcodec.OrderResult{Cause: err.Error()}
--- a/io/tbdaemon/relay_handler.go
+++ b/io/tbdaemon/relay_handler.go
@@ -101,7 +101,7 @@
 		d.counters.add("relay.expired")
 		r = tbcodec.OrderResult{Outcome: tbfleet.NotSent, Cause: causeExpired}
 	}
-	d.results.add(leader, tbcodec.ResultToWire(id, r))
+	d.results.add(leader, tbcodec.ResultToWire(id, r, d.clock.Now()))
 }
 
 // ReturnResults accepts the results of orders that this replica has passed to a relay.
--- a/io/tbdaemon/relay_test.go
+++ b/io/tbdaemon/relay_test.go
@@ -26,6 +26,10 @@
 	Adapter
 	mu     sync.Mutex
 	starts map[string]int
+	// now reads the daemon's clock.
+	now func() time.Time
+	// sentAt is when the last start was sent.
+	sentAt time.Time
 	// blocks is closed to let the starts end. It is nil if they end at once.
 	blocks chan struct{}
 }
@@ -33,12 +37,13 @@
 func (a *fakeAdapter) Start(_ context.Context, o tbfleet.Start) tbfleet.StartAnswered {
 	a.mu.Lock()
 	a.starts[o.Ref.Job]++
-	blocks := a.blocks
+	sentAt, blocks := a.now(), a.blocks
+	a.sentAt = sentAt
 	a.mu.Unlock()
 	if blocks != nil {
 		<-blocks
 	}
-	return tbfleet.StartAnswered{Outcome: tbfleet.Accepted, ClockMs: 77}
+	return tbfleet.StartAnswered{Outcome: tbfleet.Accepted, ClockMs: 77, SentBefore: sentAt}
 }
 
 func (a *fakeAdapter) count() int {
@@ -68,7 +73,7 @@
 		ID: id, PeerAddress: listener.Addr().String(), DataCentre: "dc-" + id, Policies: tbsettings.Policies{Relay: "always"},
 	}, hclog.NewNullLogger(), hclog.NewNullLogger(), hclog.NewNullLogger())
 	qt.Assert(t, err, qt.IsNil)
-	adapter = &fakeAdapter{starts: map[string]int{}}
+	adapter = &fakeAdapter{starts: map[string]int{}, now: d.Now}
 	d.SetAdapter(adapter)
 	ctx, cancel := context.WithCancel(context.Background())
 	served := make(chan struct{})
@@ -259,3 +264,86 @@
 	qt.Check(t, nextStartAnswer(t, d).Outcome, qt.Equals, tbfleet.NotSent)
 	qt.Check(t, own.count(), qt.Equals, 0)
 }
+
+// lastSentAt returns when the last start was sent.
+func (a *fakeAdapter) lastSentAt() time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.sentAt
+}
+
+func TestTimeOfSendingReachesTheLeader(t *testing.T) {
+	leader, own, _, relays, _ := newRelayedLeader(t)
+	blocks := make(chan struct{})
+	relays.block(blocks)
+	// The answer of the worker takes much longer than the sending.
+	const answerTime = time.Second
+	time.AfterFunc(answerTime, func() { close(blocks) })
+	relayed := startOrder("j")
+	start := relayed.Order.(tbfleet.Start)
+	start.Timeout = 5 * answerTime
+	relayed.Order = start
+	leader.orders.send(relayed)
+	a := nextStartAnswer(t, leader)
+	qt.Check(t, a.Outcome, qt.Equals, tbfleet.Accepted)
+	qt.Check(t, relays.startsOf("j"), qt.Equals, 1)
+	late := a.SentBefore.Sub(relays.lastSentAt())
+	qt.Check(t, late >= 0 && late < answerTime/2, qt.IsTrue, qt.Commentf("%v after the sending", late))
+
+	order := startOrder("own")
+	order.IssuedAt = leader.Now()
+	leader.orders.sendDirectly(tbrelay.PendingOrder{Order: order.Order, Term: order.Term, IssuedAt: order.IssuedAt})
+	qt.Check(t, nextStartAnswer(t, leader).SentBefore, qt.Equals, own.lastSentAt())
+}
+
+func TestTimeOfSendingIsUnknownWithoutAResult(t *testing.T) {
+	leader, own, _, relays, stopRelay := newRelayedLeader(t)
+	blocks := make(chan struct{})
+	defer close(blocks)
+	relays.block(blocks)
+	leader.orders.send(startOrder("late"))
+	a := nextStartAnswer(t, leader)
+	qt.Check(t, a.Cause, qt.Matches, "no result from relay .*")
+	qt.Check(t, a.SentBefore.IsZero(), qt.IsTrue)
+
+	// A result that cannot be decoded, one of an earlier version, and one of a relay with a wrong clock.
+	for name, m := range map[string]*pb.RelayedResult{
+		"undecodable": {Outcome: 99, SinceSentNs: 1000}, "without the field": {Outcome: uint32(tbfleet.Accepted)},
+		"before the issue": {Outcome: uint32(tbfleet.Accepted), SinceSentNs: int64(time.Hour)},
+	} {
+		order := startOrder(name)
+		leader.orders.mu.Lock()
+		m.Id = leader.orders.pending.Add(tbrelay.PendingOrder{Order: order.Order, IssuedAt: leader.Now(), Deadline: leader.Now().Add(time.Minute)})
+		leader.orders.mu.Unlock()
+		leader.orders.handleResults([]*pb.RelayedResult{m})
+		qt.Check(t, nextStartAnswer(t, leader).SentBefore.IsZero(), qt.IsTrue, qt.Commentf("%s", name))
+	}
+
+	// The leader gives an order up before it is sent.
+	order := startOrder("old")
+	leader.orders.sendDirectly(tbrelay.PendingOrder{Order: order.Order, IssuedAt: leader.Now().Add(-maxSendDelay - time.Millisecond)})
+	a = nextStartAnswer(t, leader)
+	qt.Check(t, a.Outcome, qt.Equals, tbfleet.NotSent)
+	qt.Check(t, a.SentBefore.IsZero(), qt.IsTrue)
+
+	leader.orders.send(startOrder("lost"))
+	for relays.startsOf("lost")+own.startsOf("lost") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	stopRelay()
+	leader.orders.send(startOrder("after"))
+	for range 2 {
+		if a := nextStartAnswer(t, leader); a.Ref.Job == "lost" {
+			qt.Check(t, a.Outcome, qt.Equals, tbfleet.Unconfirmed)
+			qt.Check(t, a.SentBefore.IsZero(), qt.IsTrue)
+		}
+	}
+}
+
+func TestDelaysOfOrdersCountFromTheirDecisionAndFromTheirSending(t *testing.T) {
+	params := controlConfig(tbsettings.Settings{
+		Times: tbsettings.Times{ElectionTimeout: 900 * time.Millisecond}, Workers: tbsettings.Workers{MaxOrderDelay: 12 * time.Second},
+	}, 1).Fleet
+	qt.Check(t, params.MaxDeliveryDelay, qt.Equals, 12*time.Second)
+	qt.Check(t, params.MaxOrderDelay, qt.Equals, 12*time.Second+2*900*time.Millisecond+2*maxSendDelay)
+}
