Test the delay of starts that are recorded as outstanding in one batch

Cause: a control instance applies a batch as a whole before its fleet handles the commands. The first command that ends runs of a worker removes all runs of the batch from the view (handleRecordedEnds), with the times at which their starts were sent, so that newOutstanding counts the other starts from their record. The fixture of bound tasks applies batches as control instances do.

--- a/core/tbfleet/outstanding_test.go
+++ b/core/tbfleet/outstanding_test.go
@@ -79,9 +79,17 @@
 				fx.fleet.HandlePollAnswered(fx.now, a)
 			}
 		}
-		for _, c := range out.Commands {
-			fx.apply(c)
-		}
+		fx.applyBatch(out.Commands)
+	}
+}
+
+// applyBatch applies commands as a control instance does: the state is ahead of the fleet by the rest of the batch.
+func (fx *boundFixture) applyBatch(commands []tbflow.Command) {
+	for _, c := range commands {
+		fx.state.Apply(fx.now.UnixMilli(), c)
+	}
+	for _, c := range commands {
+		fx.fleet.HandleApplied(fx.now, fx.state, c)
 	}
 }
 
