Let only unanswered renewals prolong the wait for a lost worker

Callers saw tasks of lost workers away for 22 s and more after their last run. Cause: a start without an answer binds its task until a later incarnation of the worker can have no lease any more. The leader counted the longest delay of an order and a lease from the last renewal that it had sent, answered or not, and every poll of a worker with runs renews the lease, so that one is always in flight when a worker is lost. Class of fault: a wait counted from the newest order instead of from the orders whose execution is still open. An answered order is not executed again, and one that was refused or not sent is not executed at all. Tests that left the newest poll unanswered now leave the newest renewal unanswered; their times are unchanged.

--- a/core/tbcontrol/leader_load_fake_test.go
+++ b/core/tbcontrol/leader_load_fake_test.go
@@ -535,12 +535,12 @@
 	w := s.byID[o.Target.ID]
 	p := &loadPoll{from: r, order: o, term: e.Term, sentAt: e.IssuedAt}
 	if s.now.Before(w.silentUntil) {
-		s.answerAfter(o.Timeout, r, tbcontrol.PollAnswered{Term: e.Term, Answer: tbfleet.PollAnswered{Worker: w.id, Incarnation: w.incarnation, SentAt: e.IssuedAt}})
+		s.answerAfter(o.Timeout, r, tbcontrol.PollAnswered{Term: e.Term, Answer: tbfleet.PollAnswered{Worker: w.id, Incarnation: w.incarnation, SentAt: e.IssuedAt, LeaseEndMs: o.LeaseEndMs}})
 		return
 	}
 	if o.Target.Token < w.token {
 		s.answerAfter(s.workerDelay, r, tbcontrol.PollAnswered{Term: e.Term, Answer: tbfleet.PollAnswered{
-			Worker: w.id, Incarnation: w.incarnation, SentAt: e.IssuedAt, Outcome: tbfleet.Refused,
+			Worker: w.id, Incarnation: w.incarnation, SentAt: e.IssuedAt, LeaseEndMs: o.LeaseEndMs, Outcome: tbfleet.Refused,
 		}})
 		return
 	}
@@ -566,11 +566,11 @@
 
 func (s *loadSimulation) answerPoll(w *loadWorker, p *loadPoll) {
 	a := tbfleet.PollAnswered{
-		Worker: w.id, Incarnation: w.incarnation, ActualIncarnation: w.incarnation, SentAt: p.sentAt, LastRecordedEnd: p.order.LastRecordedEnd,
+		Worker: w.id, Incarnation: w.incarnation, ActualIncarnation: w.incarnation, SentAt: p.sentAt, LastRecordedEnd: p.order.LastRecordedEnd, LeaseEndMs: p.order.LeaseEndMs,
 		Outcome: tbfleet.Accepted, ClockMs: s.clockMs(), Ended: append([]tbfleet.ListedEnd(nil), w.ended...),
 	}
 	if s.now.Before(w.silentUntil) {
-		s.answerAfter(p.order.Timeout, p.from, tbcontrol.PollAnswered{Term: p.term, Answer: tbfleet.PollAnswered{Worker: w.id, Incarnation: w.incarnation, SentAt: p.sentAt}})
+		s.answerAfter(p.order.Timeout, p.from, tbcontrol.PollAnswered{Term: p.term, Answer: tbfleet.PollAnswered{Worker: w.id, Incarnation: w.incarnation, SentAt: p.sentAt, LeaseEndMs: p.order.LeaseEndMs}})
 		return
 	}
 	for ref, run := range w.running {
--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -40,7 +40,9 @@
 	bestEffortStarts   []*Run
 	bestEffortUnderWay int
 	outstanding        outstandingStarts
-	output             Output
+	// renewals holds, for each worker ID, what is known of the orders that renew its lease.
+	renewals map[string]*renewals
+	output   Output
 }
 
 // Worker is the leader's view of one incarnation of a worker.
@@ -88,9 +90,8 @@
 	needsFence bool
 	// lastClockReading is the newest reading of the worker's clock.
 	lastClockReading clockReading
-	// leaseRenewalSentAt is when this leader last sent an order that renews the lease, to this
-	// incarnation or an earlier one.
-	leaseRenewalSentAt time.Time
+	// renewalAnsweredFrom is when the last answered poll that renews the lease was issued.
+	renewalAnsweredFrom time.Time
 	// leaseEndMs is the lease expiry that was ordered last, on the worker's clock.
 	leaseEndMs int64
 	// leaseExpiresAt is the time on the leader's clock at which all leases granted by any leader
@@ -146,7 +147,7 @@
 // New returns a fleet for the leader of a term. The term must be higher than that of any earlier
 // leader, because it is the high part of the fencing tokens.
 func New(params Params, term uint64) *Fleet {
-	return &Fleet{params: params, term: term, workers: map[string]*Worker{}, workersByAddress: map[string][]*Worker{}, removedAt: map[string]time.Time{}, firstFailedOn: map[string]string{}, crashesByAddress: map[string]machineCrashes{}, pollPermits: map[incarnationKey]bool{}, outstanding: newOutstandingStarts()}
+	return &Fleet{params: params, term: term, workers: map[string]*Worker{}, workersByAddress: map[string][]*Worker{}, removedAt: map[string]time.Time{}, firstFailedOn: map[string]string{}, crashesByAddress: map[string]machineCrashes{}, pollPermits: map[incarnationKey]bool{}, outstanding: newOutstandingStarts(), renewals: map[string]*renewals{}}
 }
 
 // TakeOver loads the recorded workers and the runs that the state assigns to workers.
@@ -158,6 +159,12 @@
 	for ref := range s.Outstanding {
 		f.updateOutstanding(now, s, ref)
 	}
+	for id := range f.outstanding.byWorker {
+		f.assumeRenewals(now, id)
+		if s.Workers[id] == nil {
+			f.removedAt[id] = now
+		}
+	}
 	for id, r := range s.Workers {
 		w := f.ensureWorker(id)
 		if l := s.Lost[id]; l.Incarnation == r.Incarnation {
@@ -182,11 +189,11 @@
 	}
 	for _, id := range s.BusyWorkers() {
 		w := f.ensureWorker(id)
+		f.assumeRenewals(now, id)
 		w.leaseExpiresAt = now.Add(f.maxLeaseDuration(f.params.MaxLease))
-		w.leaseRenewalSentAt = now
 		earlierRuns := map[int64][]tbflow.CrashedRun{}
 		s.EachRun(id, func(ref tbflow.TaskRef, t *tbflow.Task) {
-			run := &Run{Number: t.Run, Checkpoint: t.Checkpoint, Speed: FullSpeed, startSentAt: now, listed: s.IsListed(ref, t.Run)}
+			run := &Run{Number: t.Run, Checkpoint: t.Checkpoint, Speed: FullSpeed, startSentAt: now, startUntil: now.Add(f.params.MaxOrderDelay), listed: s.IsListed(ref, t.Run)}
 			if step := s.StepOf(ref); step != nil {
 				run.SpeedUnknown, run.longRunning, run.speculative = step.BestEffort, step.LongRunning, step.Speculative
 			}
@@ -313,8 +320,12 @@
 	}
 	f.removeOldCrashes(now)
 	for id, at := range f.removedAt {
-		if now.Sub(at) > f.params.MaxOrderDelay {
-			delete(f.removedAt, id)
+		if now.Sub(at) <= f.params.MaxOrderDelay+f.maxLeaseDuration(f.params.MaxLease) {
+			continue
+		}
+		delete(f.removedAt, id)
+		if f.workers[id] == nil {
+			delete(f.renewals, id)
 		}
 	}
 }
--- a/core/tbfleet/late_renewals_test.go
+++ b/core/tbfleet/late_renewals_test.go
@@ -23,7 +23,7 @@
 	var late []tbfleet.Poll
 	for _, advance := range []time.Duration{5 * time.Second, 5500 * time.Millisecond} {
 		fx.advance(advance, true)
-		fx.advance(tick, false)
+		fx.loseRenewal(t)
 		qt.Assert(t, fx.now.Sub(fx.renewedAt) < 100*time.Millisecond, qt.IsTrue)
 		late = append(late, fx.renewal)
 	}
--- a/core/tbfleet/lease.go
+++ b/core/tbfleet/lease.go
@@ -19,10 +19,9 @@
 	if !ok {
 		return 0
 	}
-	w.leaseRenewalSentAt = now
-	for _, o := range f.outstanding.byWorker[w.ID] {
-		o.renewedAt = now
-	}
+	r := f.renewalsOf(w.ID)
+	r.inFlight++
+	r.lastIssuedAt = now
 	w.leaseEndMs = clockMs + f.params.Lease.Milliseconds()
 	w.leaseExpiresAt = maxTime(w.leaseExpiresAt, now.Add(f.maxLeaseDuration(f.params.Lease)))
 	return w.leaseEndMs
--- a/core/tbfleet/lost_workers.go
+++ b/core/tbfleet/lost_workers.go
@@ -133,6 +133,6 @@
 		f.output.LogEvents = append(f.output.LogEvents, LogEvent{Message: "worker restarted", Worker: w.ID, Detail: "its earlier runs have ended"})
 	}
 	*w = Worker{
-		Report: r, runs: keptRuns, LastHeardAt: now, serial: w.serial + 1, needsFence: true, leaseRenewalSentAt: w.leaseRenewalSentAt,
+		Report: r, runs: keptRuns, LastHeardAt: now, serial: w.serial + 1, needsFence: true,
 	}
 }
--- a/core/tbfleet/network_fake_test.go
+++ b/core/tbfleet/network_fake_test.go
@@ -140,7 +140,7 @@
 	case tbfleet.Stop:
 		return tbfleet.StopAnswered{Worker: c.Target.ID, Incarnation: c.Target.Incarnation, Ref: c.Ref, Run: c.Run, Outcome: outcome}
 	case tbfleet.Poll:
-		return tbfleet.PollAnswered{Worker: c.Target.ID, Incarnation: c.Target.Incarnation, LastRecordedEnd: c.LastRecordedEnd, Outcome: outcome}
+		return tbfleet.PollAnswered{Worker: c.Target.ID, Incarnation: c.Target.Incarnation, LastRecordedEnd: c.LastRecordedEnd, LeaseEndMs: c.LeaseEndMs, Outcome: outcome}
 	}
 	panic("unknown order")
 }
--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -61,7 +61,7 @@
 		// The assignment was committed twice, and its start is ordered.
 		return
 	}
-	run := &Run{Number: a.Run, Phase: RunOrdered, Checkpoint: t.Checkpoint, Speed: FullSpeed, startSentAt: now, longRunning: j.Steps[a.Ref.Step].LongRunning, speculative: j.Steps[a.Ref.Step].Speculative}
+	run := &Run{Number: a.Run, Phase: RunOrdered, Checkpoint: t.Checkpoint, Speed: FullSpeed, startSentAt: now, startUntil: now.Add(f.params.MaxOrderDelay), longRunning: j.Steps[a.Ref.Step].LongRunning, speculative: j.Steps[a.Ref.Step].Speculative}
 	w.runs[a.Ref] = run
 	if !w.registered || w.Incarnation != a.Incarnation || !w.lastClockReading.isKnown() || w.lapse == lapsing {
 		// No order is sent: either the intended incarnation no longer exists, or no lease can be
@@ -117,13 +117,21 @@
 func (f *Fleet) HandleStartAnswered(now time.Time, a StartAnswered) {
 	f.noteReceived(now, a)
 	w := f.workers[a.Worker]
-	if w == nil {
-		return
+	var run *Run
+	if w != nil {
+		run = w.runs[a.Ref]
 	}
-	run := w.runs[a.Ref]
 	if run != nil && run.Number != a.Run {
 		run = nil
 	}
+	issuedAt := now
+	if run != nil {
+		issuedAt = run.startSentAt
+	}
+	f.noteRenewalResult(now, a.Worker, a.Outcome, issuedAt, a.SentBefore)
+	if w == nil {
+		return
+	}
 	f.trackAnswer(now, w, run, a)
 	if run == nil {
 		return
--- a/core/tbfleet/outstanding.go
+++ b/core/tbfleet/outstanding.go
@@ -12,10 +12,8 @@
 type outstandingStart struct {
 	tbflow.OutstandingStart
 	ref tbflow.TaskRef
-	// sentAt is when the start was sent, or the time of the takeover if an earlier leader sent it.
-	sentAt time.Time
-	// renewedAt is when an order that renews the lease was last sent to the worker.
-	renewedAt time.Time
+	// startUntil is the latest time at which a worker may execute the start.
+	startUntil time.Time
 	// receivedAt is when the leader learned that a worker has received the start, which is then not executed later,
 	// or zero.
 	receivedAt time.Time
@@ -158,7 +156,7 @@
 // mayBeExecutedLater reports whether a later incarnation of the worker may still execute the start of a run, which
 // the worker did not execute at the given time. Tasks of which several runs may execute at the same time need no care.
 func (f *Fleet) mayBeExecutedLater(missingAt time.Time, r *Run) bool {
-	return !r.speculative && !r.listed && !r.startReceived && !missingAt.After(r.startSentAt.Add(f.params.MaxOrderDelay))
+	return !r.speculative && !r.listed && !r.startReceived && !missingAt.After(r.startUntil)
 }
 
 // proposeUnanswered proposes to end the assignment of a run that the worker does not execute, and whose start got no
@@ -189,7 +187,7 @@
 }
 
 func (f *Fleet) newOutstanding(now time.Time, s *tbflow.State, ref tbflow.TaskRef, start tbflow.OutstandingStart) *outstandingStart {
-	o := &outstandingStart{OutstandingStart: start, ref: ref, sentAt: now, renewedAt: now}
+	o := &outstandingStart{OutstandingStart: start, ref: ref, startUntil: now.Add(f.params.MaxOrderDelay)}
 	if step := s.StepOf(ref); step != nil {
 		o.isOfGang, o.isOfLongRunning = step.Gang, step.LongRunning
 	}
@@ -198,7 +196,7 @@
 		return o
 	}
 	if run := w.runs[ref]; run != nil && run.Number == start.Run {
-		o.sentAt = run.startSentAt
+		o.startUntil = run.startUntil
 		if run.startReceived {
 			o.receivedAt = now
 		}
@@ -238,7 +236,7 @@
 		case isStray && o.Worker == w.ID:
 			o.noteReceived(now)
 		case a.Partial || isStray || slices.Contains(w.unreadable, o.ref) || slices.Contains(w.unassignedEnds, o.runRef()):
-		case a.SentAt.After(o.sentAt.Add(f.params.MaxOrderDelay)):
+		case a.SentAt.After(o.startUntil):
 			settled = append(settled, o)
 		case !o.receivedAt.IsZero() && o.Worker == w.ID && a.SentAt.After(o.receivedAt):
 			settled = append(settled, o)
@@ -256,7 +254,7 @@
 	if f.outstanding.existAt(w) {
 		f.outstanding.at(w, func(o *outstandingStart) {
 			if !o.settling {
-				d = min(d, o.sentAt.Add(f.params.MaxOrderDelay).Sub(now))
+				d = min(d, o.startUntil.Sub(now))
 			}
 		})
 	}
@@ -268,7 +266,7 @@
 	var settled []*outstandingStart
 	for _, starts := range f.outstanding.byTask {
 		for _, o := range starts {
-			if !o.settling && now.After(maxTime(o.sentAt, o.renewedAt).Add(f.params.MaxOrderDelay+f.maxLeaseDuration(f.params.MaxLease))) {
+			if !o.settling && now.After(f.latestLeaseEnd(o.Worker, o.startUntil)) {
 				settled = append(settled, o)
 			}
 		}
--- a/core/tbfleet/outstanding_test.go
+++ b/core/tbfleet/outstanding_test.go
@@ -56,33 +56,38 @@
 		fx.now = fx.now.Add(tick)
 		fx.worker.advance(fx.now)
 		fx.fleet.Tick(fx.now)
-		out := fx.fleet.TakeOutput()
-		for _, poll := range fx.polls {
-			out.Orders = append(out.Orders, poll)
+		for _, c := range fx.answerOrders(reachable) {
+			fx.apply(c)
 		}
-		fx.polls = nil
-		for _, o := range out.Orders {
-			switch o := o.(type) {
-			case tbfleet.Stop:
-				a := tbfleet.StopAnswered{Worker: o.Target.ID, Incarnation: o.Target.Incarnation, Ref: o.Ref, Run: o.Run}
-				if reachable && o.Target.ID == "w" {
-					a = fx.worker.stopRun(fx.now, o)
-				}
-				fx.fleet.HandleStopAnswered(fx.now, a)
-			case tbfleet.Poll:
-				fx.pollCount++
-				a := tbfleet.PollAnswered{Worker: o.Target.ID, Incarnation: o.Target.Incarnation, LastRecordedEnd: o.LastRecordedEnd, SentAt: fx.now}
-				if reachable && o.Target.ID == "w" {
-					a = fx.worker.poll(fx.now, o)
-					a.SentAt = fx.now
-				}
-				fx.fleet.HandlePollAnswered(fx.now, a)
+	}
+}
+
+// answerOrders answers the leader's orders, except starts, and returns its commands.
+func (fx *boundFixture) answerOrders(reachable bool) []tbflow.Command {
+	out := fx.fleet.TakeOutput()
+	for _, poll := range fx.polls {
+		out.Orders = append(out.Orders, poll)
+	}
+	fx.polls = nil
+	for _, o := range out.Orders {
+		switch o := o.(type) {
+		case tbfleet.Stop:
+			a := tbfleet.StopAnswered{Worker: o.Target.ID, Incarnation: o.Target.Incarnation, Ref: o.Ref, Run: o.Run}
+			if reachable && o.Target.ID == "w" {
+				a = fx.worker.stopRun(fx.now, o)
 			}
-		}
-		for _, c := range out.Commands {
-			fx.apply(c)
+			fx.fleet.HandleStopAnswered(fx.now, a)
+		case tbfleet.Poll:
+			fx.pollCount++
+			a := tbfleet.PollAnswered{Worker: o.Target.ID, Incarnation: o.Target.Incarnation, LastRecordedEnd: o.LastRecordedEnd, LeaseEndMs: o.LeaseEndMs, SentAt: fx.now}
+			if reachable && o.Target.ID == "w" {
+				a = fx.worker.poll(fx.now, o)
+				a.SentAt = fx.now
+			}
+			fx.fleet.HandlePollAnswered(fx.now, a)
 		}
 	}
+	return out.Commands
 }
 
 // runUntilWaiting advances the time until the task is not assigned any more.
--- a/core/tbfleet/poll.go
+++ b/core/tbfleet/poll.go
@@ -73,11 +73,16 @@
 	}
 	timeToSettle := f.timeToSettle(now, w)
 	mayWait := w.hasAnswered && !w.Unresponsive && !w.needsRecheck() && timeToSettle >= 0
-	if len(w.runs) > 0 && !w.Unresponsive && w.lapse != lapsing {
+	hasUnansweredStart := f.hasUnansweredStart(w)
+	if f.mayRenew(now, w) {
 		poll.LeaseEndMs = f.renewLease(now, w)
+		mayWait = mayWait && !hasUnansweredStart
 	}
 	if (len(w.runs) > 0 || f.outstanding.existAt(w)) && mayWait {
 		poll.Wait = min(f.pollWait(), timeToSettle.Truncate(time.Millisecond)+time.Millisecond)
+		if hasUnansweredStart && len(w.runs) > 0 {
+			poll.Wait = max(0, min(poll.Wait, w.renewalAnsweredFrom.Add(f.renewalInterval()).Sub(now).Truncate(time.Millisecond)))
+		}
 		poll.Timeout += poll.Wait
 	}
 	w.pollInFlight, w.pollSuperseded = true, false
@@ -141,6 +146,9 @@
 // HandlePollAnswered handles the result of a Poll.
 func (f *Fleet) HandlePollAnswered(now time.Time, a PollAnswered) {
 	defer f.releasePermit(now, a)
+	if a.LeaseEndMs > 0 {
+		f.noteRenewalResult(now, a.Worker, a.Outcome, a.SentAt, a.SentBefore)
+	}
 	w := f.workers[a.Worker]
 	if w == nil || w.Incarnation != a.Incarnation {
 		return
@@ -190,6 +198,9 @@
 		w.leaseExpiresAt = maxTime(w.leaseExpiresAt, now.Add(f.maxLeaseDuration(f.params.MaxLease)))
 	}
 	w.Unresponsive, w.hasAnswered, w.needsFence = false, true, false
+	if a.LeaseEndMs > 0 {
+		w.renewalAnsweredFrom = a.SentAt
+	}
 	w.lastAckedEnd = max(w.lastAckedEnd, a.LastRecordedEnd)
 	if a.LastRecordedEnd > 0 {
 		w.ackInFlight = false
--- a/core/tbfleet/restarted_test.go
+++ b/core/tbfleet/restarted_test.go
@@ -23,6 +23,8 @@
 	renewal   tbfleet.Poll
 	lastAck   tbfleet.Poll
 	renewedAt time.Time
+	// losesRenewals is true if the next poll that renews the lease is lost.
+	losesRenewals bool
 }
 
 func newWorkerFixture() *workerFixture {
@@ -67,7 +69,7 @@
 
 // leaveUnanswered tells the leader that a poll got no answer.
 func (fx *workerFixture) leaveUnanswered(poll tbfleet.Poll) {
-	fx.fleet.HandlePollAnswered(fx.now, tbfleet.PollAnswered{Worker: "w", Incarnation: poll.Target.Incarnation, LastRecordedEnd: poll.LastRecordedEnd, SentAt: fx.now})
+	fx.fleet.HandlePollAnswered(fx.now, tbfleet.PollAnswered{Worker: "w", Incarnation: poll.Target.Incarnation, LastRecordedEnd: poll.LastRecordedEnd, LeaseEndMs: poll.LeaseEndMs, SentAt: fx.now})
 }
 
 // advance advances the time by d. If the worker is reachable, it answers polls at once.
@@ -80,8 +82,9 @@
 		polls := fx.polls
 		fx.polls = nil
 		for _, l := range polls {
-			if !reachable {
+			if !reachable || fx.losesRenewals && l.LeaseEndMs > 0 {
 				fx.leaveUnanswered(l)
+				fx.losesRenewals = false
 				continue
 			}
 			a := fx.worker.poll(fx.now, l)
@@ -94,6 +97,15 @@
 	}
 }
 
+// loseRenewal advances the time until a poll that renews the lease gets no answer, which is then renewal.
+func (fx *workerFixture) loseRenewal(t *testing.T) {
+	t.Helper()
+	fx.losesRenewals = true
+	for end := fx.now.Add(params.Lease); fx.losesRenewals; fx.advance(tick, true) {
+		qt.Assert(t, fx.now.Before(end), qt.IsTrue)
+	}
+}
+
 // takeCommands returns the leader's commands and adds its polls to polls.
 func (fx *workerFixture) takeCommands() []tbflow.Command {
 	out := fx.fleet.TakeOutput()
@@ -149,6 +161,7 @@
 	fx.fleet.HandleStartAnswered(fx.now, tbfleet.StartAnswered{Worker: "w", Incarnation: start.Target.Incarnation, Ref: start.Ref, Run: start.Run})
 	// For a while, the worker answers polls but no stop orders. The last poll arrives late.
 	fx.advance(4*time.Second, true)
+	fx.loseRenewal(t)
 	fx.advance(time.Second, false)
 	poll, polledAt := fx.renewal, fx.renewedAt
 	qt.Assert(t, polledAt.After(startedAt.Add(3*time.Second)), qt.IsTrue)
--- a/core/tbfleet/run.go
+++ b/core/tbfleet/run.go
@@ -49,6 +49,8 @@
 	// startSentAt is when the start was ordered, or the time of the takeover if an earlier leader
 	// ordered it.
 	startSentAt time.Time
+	// startUntil is the latest time at which a worker may execute the start.
+	startUntil time.Time
 	// confirmedAt is the later of two times: when the start was accepted, and when the newest poll
 	// was sent whose answer listed the run as running.
 	confirmedAt time.Time
@@ -119,13 +121,12 @@
 //
 // If the run is executing, this is the end of a lease of MaxLease granted at confirmedAt.
 //
-// Otherwise, the start may be executed up to MaxOrderDelay after it was sent. The run then has a
-// lease of at most MaxLease. A later incarnation that executes the start may also execute the last
-// order that renews the lease. If that order was sent after the start, MaxOrderDelay and the lease
-// are therefore counted from that order.
+// Otherwise, the start may be executed until startUntil. The run then has a lease of at most
+// MaxLease. A later incarnation that executes the start may also execute unanswered orders that
+// renew the lease.
 func (f *Fleet) latestRunEnd(w *Worker, r *Run) time.Time {
 	if r.Phase == RunExecuting {
 		return r.confirmedAt.Add(f.maxLeaseDuration(f.params.MaxLease))
 	}
-	return maxTime(r.startSentAt, w.leaseRenewalSentAt).Add(f.params.MaxOrderDelay + f.maxLeaseDuration(f.params.MaxLease))
+	return f.latestLeaseEnd(w.ID, r.startUntil)
 }
--- a/core/tbfleet/takeover_test.go
+++ b/core/tbfleet/takeover_test.go
@@ -60,7 +60,7 @@
 // leaveUnanswered tells the leader that a poll got no answer.
 func (fx *takeoverFixture) leaveUnanswered(poll tbfleet.Poll) {
 	fx.now = fx.now.Add(poll.Timeout)
-	fx.fleet.HandlePollAnswered(fx.now, tbfleet.PollAnswered{Worker: "w", Incarnation: poll.Target.Incarnation, LastRecordedEnd: poll.LastRecordedEnd, SentAt: fx.now.Add(-poll.Timeout)})
+	fx.fleet.HandlePollAnswered(fx.now, tbfleet.PollAnswered{Worker: "w", Incarnation: poll.Target.Incarnation, LastRecordedEnd: poll.LastRecordedEnd, LeaseEndMs: poll.LeaseEndMs, SentAt: fx.now.Add(-poll.Timeout)})
 }
 
 // A new leader's first poll is executed late, after the worker was disconnected. The run must have
--- a/core/tbfleet/types.go
+++ b/core/tbfleet/types.go
@@ -232,7 +232,9 @@
 	// no such time is known.
 	SentBefore      time.Time
 	LastRecordedEnd uint64
-	Outcome         Outcome
+	// LeaseEndMs is the lease's expiry in the poll, or 0 if the poll did not renew the lease.
+	LeaseEndMs int64
+	Outcome    Outcome
 	// Cause says why there was no answer. CauseDisconnected means that the worker closed the connection.
 	Cause string
 	// ActualIncarnation is the incarnation that answered.
--- a/core/tbfleet/worker_fake_test.go
+++ b/core/tbfleet/worker_fake_test.go
@@ -205,7 +205,7 @@
 }
 
 func (w *fakeWorker) poll(now time.Time, o tbfleet.Poll) tbfleet.PollAnswered {
-	a := tbfleet.PollAnswered{Worker: o.Target.ID, Incarnation: o.Target.Incarnation, LastRecordedEnd: o.LastRecordedEnd, Outcome: tbfleet.Refused}
+	a := tbfleet.PollAnswered{Worker: o.Target.ID, Incarnation: o.Target.Incarnation, LastRecordedEnd: o.LastRecordedEnd, LeaseEndMs: o.LeaseEndMs, Outcome: tbfleet.Refused}
 	if !w.acceptToken(o.Target.Token) {
 		return a
 	}
--- a/io/tbdaemon/orders.go
+++ b/io/tbdaemon/orders.go
@@ -77,7 +77,7 @@
 	}
 	order := o.Order.(tbfleet.Poll)
 	return tbcontrol.PollAnswered{Term: o.Term, Answer: tbfleet.PollAnswered{
-		Worker: order.Target.ID, Incarnation: order.Target.Incarnation, LastRecordedEnd: order.LastRecordedEnd, Outcome: r.Outcome,
+		Worker: order.Target.ID, Incarnation: order.Target.Incarnation, LastRecordedEnd: order.LastRecordedEnd, LeaseEndMs: order.LeaseEndMs, Outcome: r.Outcome,
 		// The answer shows the worker's state at some time after the order was issued.
 		SentAt: o.IssuedAt, SentBefore: sentBefore, ActualIncarnation: r.ActualIncarnation, ClockMs: r.ClockMs,
 		Running: r.Running, Ended: r.Ended, Partial: r.Partial, Cause: r.Cause,
