Count the delay of unanswered orders from their sending

Callers saw tasks wait for 16 to 20 s after a start without an answer, where the longest delay is 12 s. Cause: the longest delay was counted from the decision of the leader, with the longest time until an order is sent, 3.8 s, although the time of sending is known of each order whose result came. Change: the delay counts from SentBefore of the result if it is known. The schedules hold orders back before they are sent, and tell the leader the time of sending of two orders in three.

--- a/core/tbfleet/network_fake_test.go
+++ b/core/tbfleet/network_fake_test.go
@@ -40,6 +40,11 @@
 	// notSentRate is the fraction of orders to a disconnected worker that are not sent, because no
 	// connection is established.
 	notSentRate = 0.3
+	// heldOrderRate is the fraction of orders that a leader or relay holds for up to maxOrderDelay -
+	// maxDeliveryDelay before it sends them. unknownSendingRate is the fraction of unconfirmed orders of
+	// which the leader does not learn when they were sent.
+	heldOrderRate      = 0.03
+	unknownSendingRate = 0.3
 	// expiredRate is the fraction of orders that a suspended relay gives up without sending them.
 	expiredRate = 0.01
 	// slowAnswerRate is the fraction of answers and sign-offs that are slow. They take up to
@@ -51,25 +56,32 @@
 // sendOrder delivers an order, sometimes late. The answer may be lost.
 func (sim *simulation) sendOrder(l *leader, c tbfleet.Order) {
 	target, wait, timeout := orderTarget(c)
-	sentAt := sim.now
-	delay := sim.oneWayDelay(0)
+	issuedAt, sentAt := sim.now, sim.now
+	if sim.injectsFaults && sim.rng.Float64() < heldOrderRate {
+		sentAt = sentAt.Add(sim.randomDuration(0, maxOrderDelay-maxDeliveryDelay))
+	}
+	unconfirmed := failedAnswer(c, tbfleet.Unconfirmed)
+	if sim.rng.Float64() >= unknownSendingRate && sentAt.Before(issuedAt.Add(timeout)) {
+		unconfirmed = withSentBefore(unconfirmed, sentAt)
+	}
+	delay := sentAt.Sub(issuedAt) + sim.oneWayDelay(0)
 	if sim.relayRNG != nil && sim.injectsFaults && sim.relayRNG.Float64() < expiredRate {
-		sim.schedule(sim.oneWayDelay(maxAnswerDelay), func() { sim.deliverAnswer(l, sentAt, c, failedAnswer(c, tbfleet.NotSent)) })
+		sim.schedule(sim.oneWayDelay(maxAnswerDelay), func() { sim.deliverAnswer(l, issuedAt, c, failedAnswer(c, tbfleet.NotSent)) })
 		return
 	}
 	late := sim.injectsFaults && sim.rng.Float64() < sim.lateRate()
-	answerLost := late || sim.injectsFaults && sim.rng.Float64() < lostAnswerRate
+	answerLost := late || sentAt.Sub(issuedAt) >= timeout || sim.injectsFaults && sim.rng.Float64() < lostAnswerRate
 	if late {
-		delay = 2*time.Second + time.Duration(sim.rng.Int64N(int64(maxOrderDelay-2*time.Second)))
+		delay += 2*time.Second + time.Duration(sim.rng.Int64N(int64(maxDeliveryDelay-2*time.Second)-int64(10*time.Millisecond)))
 	} else if sim.partitionFrom(target.Address, l).losesOrders {
-		outcome := tbfleet.Unconfirmed
+		answer := unconfirmed
 		if sim.rng.Float64() < notSentRate {
-			outcome = tbfleet.Refused
+			answer = failedAnswer(c, tbfleet.Refused)
 		}
-		sim.schedule(timeout, func() { sim.deliverAnswer(l, sentAt, c, failedAnswer(c, outcome)) })
+		sim.schedule(timeout, func() { sim.deliverAnswer(l, issuedAt, c, answer) })
 		return
 	}
-	deliverNoAnswer := func() { sim.deliverAnswer(l, sentAt, c, failedAnswer(c, tbfleet.Unconfirmed)) }
+	deliverNoAnswer := func() { sim.deliverAnswer(l, issuedAt, c, unconfirmed) }
 	if answerLost {
 		sim.schedule(timeout, deliverNoAnswer)
 	}
@@ -85,7 +97,7 @@
 		}
 		sim.schedule(pollDelay, func() {
 			if sim.workersByAddress[target.Address] != fw {
-				sim.schedule(sentAt.Add(timeout).Sub(sim.now), deliverNoAnswer)
+				sim.schedule(issuedAt.Add(timeout).Sub(sim.now), deliverNoAnswer)
 				return
 			}
 			if list, ok := a.(tbfleet.PollAnswered); ok && list.Outcome == tbfleet.Accepted {
@@ -93,11 +105,11 @@
 			}
 			// The answer is now in flight, even if the incarnation that sent it ends.
 			sim.schedule(sim.oneWayDelay(maxAnswerDelay), func() {
-				if sim.partitionFrom(target.Address, l).losesAnswers || sim.now.Sub(sentAt) >= timeout {
-					sim.schedule(sentAt.Add(timeout).Sub(sim.now), deliverNoAnswer)
+				if sim.partitionFrom(target.Address, l).losesAnswers || sim.now.Sub(issuedAt) >= timeout {
+					sim.schedule(issuedAt.Add(timeout).Sub(sim.now), deliverNoAnswer)
 					return
 				}
-				sim.deliverAnswer(l, sentAt, c, a)
+				sim.deliverAnswer(l, issuedAt, c, a)
 			})
 		})
 	})
@@ -145,6 +157,19 @@
 	panic("unknown order")
 }
 
+// withSentBefore returns the result of an order with a time after which the order was not sent.
+func withSentBefore(answer any, sentBefore time.Time) any {
+	switch a := answer.(type) {
+	case tbfleet.StartAnswered:
+		a.SentBefore = sentBefore
+		return a
+	case tbfleet.PollAnswered:
+		a.SentBefore = sentBefore
+		return a
+	}
+	return answer
+}
+
 // deliver lets fw, the current incarnation at the order's address, execute an order and returns the
 // answer. fw is nil if no worker is at the address.
 func (sim *simulation) deliver(fw *fakeWorker, c tbfleet.Order, isLate bool) any {
@@ -194,12 +219,12 @@
 
 // deliverAnswer passes the result of an order, which may be that no answer came, to the leader that
 // sent the order. A paused leader gets the result when it resumes.
-func (sim *simulation) deliverAnswer(l *leader, sentAt time.Time, c tbfleet.Order, answer any) {
+func (sim *simulation) deliverAnswer(l *leader, issuedAt time.Time, c tbfleet.Order, answer any) {
 	if l.stopped {
 		return
 	}
 	if sim.now.Before(l.pausedUntil) {
-		sim.schedule(l.pausedUntil.Sub(sim.now), func() { sim.deliverAnswer(l, sentAt, c, answer) })
+		sim.schedule(l.pausedUntil.Sub(sim.now), func() { sim.deliverAnswer(l, issuedAt, c, answer) })
 		return
 	}
 	switch a := answer.(type) {
@@ -208,7 +233,7 @@
 	case tbfleet.StopAnswered:
 		l.fleet.HandleStopAnswered(sim.now, a)
 	case tbfleet.PollAnswered:
-		a.SentAt = sentAt
+		a.SentAt = issuedAt
 		l.fleet.HandlePollAnswered(sim.now, a)
 	}
 }
--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -137,6 +137,7 @@
 		return
 	}
 	run.startReceived = run.startReceived || a.Outcome != Unconfirmed
+	run.startUntil = f.executableUntil(run.startSentAt, a.SentBefore)
 	if run.Phase == RunEnding {
 		return
 	}
--- a/core/tbfleet/outstanding.go
+++ b/core/tbfleet/outstanding.go
@@ -208,7 +208,11 @@
 func (f *Fleet) noteReceived(now time.Time, a StartAnswered) {
 	o := f.outstanding.findAt(a.Worker, tbflow.RunRef{Ref: a.Ref, Run: a.Run})
 	switch {
-	case o == nil || a.Outcome == Unconfirmed:
+	case o == nil:
+	case a.Outcome == Unconfirmed:
+		if !a.SentBefore.IsZero() {
+			o.startUntil = f.executableUntil(time.Time{}, a.SentBefore)
+		}
 	case a.Outcome == Accepted:
 		o.noteReceived(now)
 	default:
--- a/core/tbfleet/outstanding_test.go
+++ b/core/tbfleet/outstanding_test.go
@@ -284,3 +284,24 @@
 	qt.Check(t, first.ends[0].voided, qt.IsTrue)
 	qt.Check(t, fx.fleet.Usable(fx.fleet.Worker("w"), fx.now), qt.IsTrue)
 }
+
+// The longest delay of each unanswered start was counted from its order, with the longest time until an order is sent.
+func TestUnansweredStartIsSettledTheLongestDelayAfterItsSending(t *testing.T) {
+	for _, test := range []struct {
+		isKnown bool
+		delay   time.Duration
+	}{{true, maxDeliveryDelay}, {false, maxOrderDelay}} {
+		fx := newBoundFixture()
+		sentAt := fx.now
+		a := tbfleet.StartAnswered{Worker: "w", Incarnation: fx.start.Target.Incarnation, Ref: fx.ref, Run: 1}
+		if test.isKnown {
+			a.SentBefore = sentAt
+		}
+		fx.fleet.HandleStartAnswered(fx.now, a)
+		fx.runUntilWaiting(t)
+		fx.run(sentAt.Add(test.delay-tick).Sub(fx.now), true)
+		qt.Check(t, fx.state.IsBound(fx.ref), qt.IsTrue)
+		fx.run(200*time.Millisecond, true)
+		qt.Check(t, fx.state.IsBound(fx.ref), qt.IsFalse)
+	}
+}
--- a/core/tbfleet/renewals.go
+++ b/core/tbfleet/renewals.go
@@ -76,7 +76,10 @@
 
 // executableUntil returns the latest time at which a worker may execute an order without an answer.
 func (f *Fleet) executableUntil(issuedAt, sentBefore time.Time) time.Time {
-	return issuedAt.Add(f.params.MaxOrderDelay)
+	if sentBefore.IsZero() {
+		return issuedAt.Add(f.params.MaxOrderDelay)
+	}
+	return sentBefore.Add(f.params.MaxDeliveryDelay)
 }
 
 // latestLeaseEnd returns the latest time at which a run may end whose start a later incarnation of the worker has
--- a/core/tbfleet/schedule_test.go
+++ b/core/tbfleet/schedule_test.go
@@ -26,6 +26,7 @@
 	faultPeriod       = 20 * time.Second
 	commitDelay       = 10 * time.Millisecond
 	maxOrderDelay     = 12 * time.Second
+	maxDeliveryDelay  = 10 * time.Second
 	heartbeatInterval = time.Second
 	// usableTimeout is the time after the end of the last fault by which all workers must accept
 	// tasks.
@@ -50,7 +51,7 @@
 )
 
 var params = tbfleet.Params{
-	Lease: 4 * time.Second, MaxLease: 6 * time.Second, MaxOrderDelay: maxOrderDelay, ClockRateBound: 0.02, PollWait: time.Second,
+	Lease: 4 * time.Second, MaxLease: 6 * time.Second, MaxOrderDelay: maxOrderDelay, MaxDeliveryDelay: maxDeliveryDelay, ClockRateBound: 0.02, PollWait: time.Second,
 	OrderTimeout: 400 * time.Millisecond, SilenceTimeout: 3500 * time.Millisecond, PollRetryDelay: 250 * time.Millisecond,
 }
 
