Keep the time of sending of starts that are recorded together with ends

Callers saw tasks wait for 16 to 20 s after a start without an answer. Cause: if the record of an unanswered start was committed in one log entry after another end of its worker, the view of the run was removed before the start was noted as outstanding. Its delay was then counted from the record, with the longest time until an order is sent. Evidence: with log lines added, all unanswered starts of a play have a known time of sending, but five in six are settled 16 s or more later. Change: handleRecordedEnds notes the outstanding start before it removes the run. Result: TestUnansweredStartIsCountedFromItsSendingIfRecordedWithAnEnd fails before.

--- a/core/tbfleet/gone_test.go
+++ b/core/tbfleet/gone_test.go
@@ -134,3 +134,46 @@
 		qt.Check(t, fx.now.Sub(sentAt) >= maxOrderDelay+params.MaxLease, qt.IsTrue)
 	}
 }
+
+// runUntil advances the time with a reachable worker until apply has applied a command.
+func (fx *boundFixture) runUntil(t *testing.T, apply func(tbflow.Command) bool) {
+	t.Helper()
+	for end := fx.now.Add(10 * time.Second); ; {
+		qt.Assert(t, fx.now.Before(end), qt.IsTrue)
+		fx.now = fx.now.Add(tick)
+		fx.worker.advance(fx.now)
+		fx.fleet.Tick(fx.now)
+		commands := fx.answerOrders(true)
+		for _, c := range commands {
+			if apply(c) {
+				return
+			}
+			fx.apply(c)
+		}
+	}
+}
+
+// The record of an unanswered start was committed together with another end at its worker. The longest delay of the start
+// was then counted from the record.
+func TestUnansweredStartIsCountedFromItsSendingIfRecordedWithAnEnd(t *testing.T) {
+	fx := newBoundFixture()
+	sentAt := fx.now
+	fx.fleet.HandleStartAnswered(fx.now, tbfleet.StartAnswered{
+		Worker: "w", Incarnation: fx.start.Target.Incarnation, Ref: fx.ref, Run: 1, SentBefore: sentAt,
+	})
+	ends := tbflow.RecordEnds{Worker: "w", Incarnation: fx.worker.incarnation}
+	fx.runUntil(t, func(c tbflow.Command) bool {
+		unanswered, ok := c.(tbflow.RecordUnanswered)
+		if !ok {
+			return false
+		}
+		fx.state.Apply(fx.now.UnixMilli(), ends)
+		fx.state.Apply(fx.now.UnixMilli(), unanswered)
+		fx.fleet.HandleApplied(fx.now, fx.state, ends)
+		fx.fleet.HandleApplied(fx.now, fx.state, unanswered)
+		return true
+	})
+	qt.Assert(t, fx.state.IsBound(fx.ref), qt.IsTrue)
+	fx.run(sentAt.Add(maxDeliveryDelay+200*time.Millisecond).Sub(fx.now), true)
+	qt.Check(t, fx.state.IsBound(fx.ref), qt.IsFalse)
+}
--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -332,6 +332,10 @@
 			continue
 		}
 		if t := s.AssignedRun(id, ref); t == nil || t.Run != run.Number {
+			if run.isUnanswered {
+				// The start may have been recorded as outstanding by a later command of the same log entry.
+				f.updateOutstanding(now, s, ref)
+			}
 			delete(w.runs, ref)
 		}
 	}
