Count the delay of recorded starts from their record after a takeover

Cause: a leader that takes over knows the outstanding starts from the replicated state, but not when they were sent. It counted their longest delay anew from its takeover, so that each takeover kept their tasks at silent or leaving workers for up to that delay again.

Change: each replica notes when it applied the record of an outstanding start, on the clock of its decisions (tbfleet.OutstandingTimes). A start is issued before its record is proposed, so this time is late enough on every replica, suspended or not. There is one exception: the end of an outstanding run makes the start of the next run outstanding, and a leader that applies its log slowly may send that start after other replicas have applied the record. Its task is then done, and such a start counts from the takeover as before. So do runs that are not recorded as outstanding, and the end of a lease.

--- a/core/tbassign/assign_test.go
+++ b/core/tbassign/assign_test.go
@@ -454,7 +454,7 @@
 	for i := range 100 {
 		b.submit("fill", fmt.Sprintf("f%d", i), bestEffortStep(8, "x"))
 	}
-	b.fleet.TakeOver(b.now, b.state)
+	b.fleet.TakeOver(b.now, b.state, tbfleet.NewOutstandingTimes(b.now, b.state))
 	b.fleet.HandleReport(b.now, tbfleet.Report{
 		ID: "w00", Address: "w00", Incarnation: 1, Class: "c", ClockMs: 1, Sequence: 1,
 		Capacity: tbresource.Amount{MilliProcessors: 32_000, MemoryMB: 125_000},
--- a/core/tbassign/predicted_admission_test.go
+++ b/core/tbassign/predicted_admission_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"tamarackbarrow/core/tbfleet"
 	"tamarackbarrow/core/tbflow"
 )
 
@@ -287,7 +288,7 @@
 	for i := range 100 {
 		r.submit("short", fmt.Sprintf("s%d", i), shortTasks(20, 3))
 	}
-	r.fleet.TakeOver(r.now, r.state)
+	r.fleet.TakeOver(r.now, r.state, tbfleet.NewOutstandingTimes(r.now, r.state))
 	r.poll("w00", noMeasurement)
 	Plan(r.now, r.state, r.fleet, r.learner, r.rebalancer, 100)
 	qt.Check(t, r.ask("short", "next", shortTasks(1, 3)), qt.IsTrue)
--- a/core/tbcontrol/control.go
+++ b/core/tbcontrol/control.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tamarackbarrow/core/tbconsensus"
+	"tamarackbarrow/core/tbfleet"
 	"tamarackbarrow/core/tbflow"
 	"tamarackbarrow/core/tbstate"
 )
@@ -15,6 +16,7 @@
 	codec             Codec
 	replica           *tbconsensus.Replica
 	state             *tbstate.State
+	outstandingTimes  *tbfleet.OutstandingTimes
 	lastSnapshotIndex uint64
 	// lastSnapshotBytes is the size of the last snapshot, and bytesSinceSnapshot that of the entries applied
 	// since then.
@@ -54,6 +56,7 @@
 	return &Control{
 		cfg: cfg, codec: codec, state: state, pendingLeaderRequests: map[uint64]bool{},
 		replica:           tbconsensus.New(cfg.Consensus, persisted, now),
+		outstandingTimes:  tbfleet.NewOutstandingTimes(now, state.Flow),
 		lastSnapshotIndex: persisted.Snapshot.Meta.Index, lastSnapshotBytes: len(persisted.Snapshot.Data),
 	}, nil
 }
@@ -212,7 +215,7 @@
 		c.emit(save)
 	}
 	if out.InstallSnapshot != nil {
-		c.installSnapshot(*out.InstallSnapshot)
+		c.installSnapshot(now, *out.InstallSnapshot)
 	}
 	c.unapplied = append(c.unapplied, out.Committed...)
 	c.applyCommitted(now)
@@ -220,12 +223,12 @@
 	c.snapshotIfDue()
 }
 
-func (c *Control) installSnapshot(s tbconsensus.Snapshot) {
+func (c *Control) installSnapshot(now time.Time, s tbconsensus.Snapshot) {
 	state, err := c.codec.DecodeState(s.Data)
 	if err != nil {
 		panic(fmt.Sprintf("decode snapshot of the leader at index %d: %v", s.Meta.Index, err))
 	}
-	c.state = state
+	c.state, c.outstandingTimes = state, tbfleet.NewOutstandingTimes(now, state.Flow)
 	c.lastSnapshotIndex, c.lastSnapshotBytes, c.bytesSinceSnapshot = s.Meta.Index, len(s.Data), 0
 	c.unapplied = nil
 }
@@ -265,6 +268,7 @@
 	}
 	batch := c.batchOf(e)
 	outcomes := c.state.Apply(e.Index, batch)
+	c.noteOutstandingTimes(now, batch)
 	if shouldLog && c.replica.Role() == tbconsensus.Leader {
 		c.logDecisions(now, batch)
 	}
@@ -274,6 +278,15 @@
 	c.answerProposals(e, outcomes)
 }
 
+func (c *Control) noteOutstandingTimes(now time.Time, batch tbstate.Batch) {
+	for _, command := range batch.Commands {
+		if change, ok := command.(tbstate.FlowChange); ok {
+			c.outstandingTimes.HandleApplied(now, c.state.Flow, change.Command)
+		}
+	}
+	c.outstandingTimes.RemoveExpired(c.state.Flow)
+}
+
 // isOldestInFlight reports whether an entry is the oldest batch in flight. After a change of leader, another
 // entry may have the index of that batch.
 func (c *Control) isOldestInFlight(e tbconsensus.Entry) bool {
--- a/core/tbcontrol/flow.go
+++ b/core/tbcontrol/flow.go
@@ -65,7 +65,7 @@
 		takenOverAt:    now,
 	}
 	l.learner.Features = c.cfg.Scheduling
-	l.fleet.TakeOver(now, c.state.Flow)
+	l.fleet.TakeOver(now, c.state.Flow, c.outstandingTimes)
 	l.learner.RestoreInterference(c.state.Flow.Interference)
 	l.nextInterferenceRecordAt = now.Add(interferenceInterval)
 	for _, j := range c.state.Flow.Jobs {
--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -153,10 +153,14 @@
 //
 // A run that no worker has listed may still be in flight as a start, and a later incarnation may
 // execute that start. The earlier leader may have sent orders that renew the lease until now. The
-// waits for such a run, and for an outstanding start, therefore begin now, not at the start.
-func (f *Fleet) TakeOver(now time.Time, s *tbflow.State) {
+// waits for such a run therefore begin now, not at the start. An outstanding start was sent before
+// this replica applied its record, and its longest delay is counted from then.
+func (f *Fleet) TakeOver(now time.Time, s *tbflow.State, applied *OutstandingTimes) {
 	for ref := range s.Outstanding {
 		f.updateOutstanding(now, s, ref)
+		for _, o := range f.outstanding.byTask[ref] {
+			o.sentAt = applied.sentBefore(now, o)
+		}
 	}
 	for id, r := range s.Workers {
 		w := f.ensureWorker(id)
--- a/core/tbfleet/held_polls_test.go
+++ b/core/tbfleet/held_polls_test.go
@@ -29,7 +29,7 @@
 			s.Apply(now.UnixMilli(), tbflow.Assign{Assignments: []tbflow.Assignment{{Ref: ref, Run: 1, Worker: id, Incarnation: 1}}})
 			s.Apply(now.UnixMilli(), tbflow.RecordUnanswered{Worker: id, Incarnation: 1, Address: id, Runs: []tbflow.RunRef{{Ref: ref, Run: 1}}})
 		}
-		f.TakeOver(now, s)
+		f.TakeOver(now, s, tbfleet.NewOutstandingTimes(now, s))
 		polls := 0
 		var orders []tbfleet.Order
 		for end := now.Add(4 * time.Second); now.Before(end); now = now.Add(tick) {
--- a/core/tbfleet/late_renewals_test.go
+++ b/core/tbfleet/late_renewals_test.go
@@ -29,7 +29,7 @@
 	}
 	fx.state.Apply(fx.now.UnixMilli(), tbflow.RecordInterference{})
 	fx.fleet, fx.polls = tbfleet.New(params, 2), nil
-	fx.fleet.TakeOver(fx.now, fx.state)
+	fx.fleet.TakeOver(fx.now, fx.state, tbfleet.NewOutstandingTimes(fx.now, fx.state))
 
 	fx.worker = newFakeWorker("w", fx.now, 0.98)
 	events := []struct {
--- a/core/tbfleet/leader_fake_test.go
+++ b/core/tbfleet/leader_fake_test.go
@@ -50,9 +50,11 @@
 func (sim *simulation) electLeader() {
 	committedCount := sim.rng.IntN(len(sim.pendingProposals) + 1)
 	for _, p := range sim.pendingProposals[:committedCount] {
-		sim.state.Apply(p.proposedAt.Add(sim.leader.clockOffset).UnixMilli(), p.command)
+		sim.applyCommitted(p, sim.leader.clockOffset, false)
 	}
 	sim.pendingProposals = nil
+	replica := sim.replicas.elect(sim.now, sim.leader)
+	sim.checkReplica(replica)
 	if old := sim.leader; old != nil && !old.stopped {
 		delay := time.Duration(sim.rng.IntN(1500)) * time.Millisecond
 		if old.pausedUntil.After(sim.now) {
@@ -66,7 +68,7 @@
 		sim.leader.clockOffset = sim.randomDuration(-maxClockOffset, maxClockOffset)
 	}
 	sim.logf("leader of term %d takes over, %d pending proposals are committed", sim.lastTerm, committedCount)
-	sim.leader.fleet.TakeOver(sim.now, sim.state)
+	sim.leader.fleet.TakeOver(sim.now, sim.state, replica.times)
 	for _, id := range sim.jobIDs {
 		sim.stopEndedJob(id)
 	}
@@ -104,15 +106,22 @@
 		return
 	}
 	for len(sim.pendingProposals) > 0 && sim.now.Sub(sim.pendingProposals[0].proposedAt) >= commitDelay {
-		c, at := sim.pendingProposals[0].command, sim.pendingProposals[0].proposedAt
+		p := sim.pendingProposals[0]
+		c := p.command
 		sim.pendingProposals = sim.pendingProposals[1:]
-		sim.state.Apply(at.Add(sim.leader.clockOffset).UnixMilli(), c)
+		sim.applyCommitted(p, sim.leader.clockOffset, true)
 		sim.leader.fleet.HandleApplied(sim.now, sim.state, c)
 		sim.onApplied(c)
 		sim.checker.checkCopies()
 	}
 }
 
+// applyCommitted applies a committed command to the state, and gives it to the replicas.
+func (sim *simulation) applyCommitted(p proposal, clockOffset time.Duration, hasLeader bool) {
+	sim.state.Apply(p.proposedAt.Add(clockOffset).UnixMilli(), p.command)
+	sim.replicas.commit(sim.now, p, clockOffset, hasLeader)
+}
+
 // onApplied does what a leader does in other parts than its fleet after a command is committed.
 func (sim *simulation) onApplied(c tbflow.Command) {
 	switch c := c.(type) {
--- a/core/tbfleet/listed_test.go
+++ b/core/tbfleet/listed_test.go
@@ -18,8 +18,9 @@
 }
 
 func (fx *workerFixture) takeOver() {
-	fx.fleet, fx.polls = tbfleet.New(params, 2), nil
-	fx.fleet.TakeOver(fx.now, fx.state)
+	fx.term++
+	fx.fleet, fx.polls = tbfleet.New(params, fx.term), nil
+	fx.fleet.TakeOver(fx.now, fx.state, fx.times)
 	for _, c := range fx.takeCommands() {
 		fx.apply(c)
 	}
--- a/core/tbfleet/many_ends_test.go
+++ b/core/tbfleet/many_ends_test.go
@@ -27,7 +27,7 @@
 	}
 	fx.state.Apply(fx.now.UnixMilli(), tbflow.RecordWorker{Worker: "w", Incarnation: fx.worker.incarnation, Address: "a:1", Class: "c"})
 	fx.fleet, fx.polls = tbfleet.New(params, 2), nil
-	fx.fleet.TakeOver(fx.now, fx.state)
+	fx.fleet.TakeOver(fx.now, fx.state, tbfleet.NewOutstandingTimes(fx.now, fx.state))
 	fx.advance(2*time.Second, true)
 	for i := range starts {
 		task := fx.task(fmt.Sprintf("t%d", i))
--- a/core/tbfleet/outstanding.go
+++ b/core/tbfleet/outstanding.go
@@ -12,7 +12,7 @@
 type outstandingStart struct {
 	tbflow.OutstandingStart
 	ref tbflow.TaskRef
-	// sentAt is when the start was sent, or the time of the takeover if an earlier leader sent it.
+	// sentAt is when the start was sent, or a later time if an earlier leader sent it, see OutstandingTimes.
 	sentAt time.Time
 	// renewedAt is when an order that renews the lease was last sent to the worker.
 	renewedAt time.Time
--- a/core/tbfleet/permits_test.go
+++ b/core/tbfleet/permits_test.go
@@ -47,7 +47,7 @@
 	}
 	s.Apply(now.UnixMilli(), tbflow.Assign{Assignments: runs})
 	l := &massTakeoverFixture{t: t, now: now, state: s, fleet: tbfleet.New(params, 2), firstAnsweredAt: map[string]time.Time{}}
-	l.fleet.TakeOver(now, s)
+	l.fleet.TakeOver(now, s, tbfleet.NewOutstandingTimes(now, s))
 	return l
 }
 
--- a/core/tbfleet/restarted_test.go
+++ b/core/tbfleet/restarted_test.go
@@ -16,7 +16,10 @@
 	now    time.Time
 	state  *tbflow.State
 	fleet  *tbfleet.Fleet
+	term   uint64
 	worker *fakeWorker
+	// times are those of the replica that leads next.
+	times *tbfleet.OutstandingTimes
 	// polls holds the polls in flight. renewal is the last poll that renewed the lease. lastAck is
 	// the last poll that acknowledged ends.
 	polls     []tbfleet.Poll
@@ -26,7 +29,8 @@
 }
 
 func newWorkerFixture() *workerFixture {
-	fx := &workerFixture{now: time.UnixMilli(1_700_000_000_000), state: tbflow.New(), fleet: tbfleet.New(params, 1)}
+	fx := &workerFixture{now: time.UnixMilli(1_700_000_000_000), state: tbflow.New(), fleet: tbfleet.New(params, 1), term: 1}
+	fx.times = tbfleet.NewOutstandingTimes(fx.now, fx.state)
 	fx.worker = newFakeWorker("w", fx.now.Add(-time.Minute), 1)
 	fx.state.Apply(fx.now.UnixMilli(), tbflow.PutConfig{Config: tbflow.Config{Version: 1, Queues: []tbflow.Queue{
 		{Name: "q", Key: tbflow.QueueKey{Host: "h", Prefix: "/q/"}, WorkerClass: "c", MaxFailures: 3},
@@ -62,6 +66,8 @@
 
 func (fx *workerFixture) apply(c tbflow.Command) {
 	fx.state.Apply(fx.now.UnixMilli(), c)
+	fx.times.HandleApplied(fx.now, fx.state, c)
+	fx.times.RemoveExpired(fx.state)
 	fx.fleet.HandleApplied(fx.now, fx.state, c)
 }
 
--- a/core/tbfleet/schedule_test.go
+++ b/core/tbfleet/schedule_test.go
@@ -69,6 +69,7 @@
 	now              time.Time
 	state            *tbflow.State
 	leader           *leader
+	replicas         *fakeReplicas
 	lastTerm         uint64
 	pendingProposals []proposal
 	// workers holds the current incarnation at each address. addresses holds all addresses in order
@@ -105,9 +106,11 @@
 	for range workerCount {
 		sim.startWorker(sim.newID(), sim.newAddress())
 	}
-	sim.state.Apply(sim.now.UnixMilli(), tbflow.PutConfig{Config: tbflow.Config{Version: 1, Queues: []tbflow.Queue{
+	sim.replicas = newFakeReplicas(seed, sim.now)
+	config := tbflow.PutConfig{Config: tbflow.Config{Version: 1, Queues: []tbflow.Queue{
 		{Name: "q", Key: tbflow.QueueKey{Host: "h", Prefix: "/q/"}, WorkerClass: "c", MaxFailures: maxFailures, Slack: 2},
-	}}})
+	}}}
+	sim.applyCommitted(proposal{command: config, proposedAt: sim.now}, 0, false)
 	sim.electLeader()
 	return sim
 }
--- a/core/tbfleet/speed_test.go
+++ b/core/tbfleet/speed_test.go
@@ -100,7 +100,7 @@
 	step := &fx.state.Jobs["j"].Steps[0]
 	step.LongRunning, step.BestEffort = false, true
 	fx.fleet = tbfleet.New(params, 2)
-	fx.fleet.TakeOver(fx.now, fx.state)
+	fx.fleet.TakeOver(fx.now, fx.state, tbfleet.NewOutstandingTimes(fx.now, fx.state))
 	for _, poll := range fx.advanceAndTakePolls(0) {
 		a := fx.worker.poll(fx.now, poll)
 		a.SentAt = fx.now
--- a/core/tbfleet/start_age_test.go
+++ b/core/tbfleet/start_age_test.go
@@ -29,7 +29,7 @@
 
 	now := ordered.Add(100 * time.Millisecond)
 	f := tbfleet.New(params, 3)
-	f.TakeOver(now, s)
+	f.TakeOver(now, s, tbfleet.NewOutstandingTimes(now, s))
 	for {
 		now = now.Add(10 * time.Millisecond)
 		f.Tick(now)
--- a/core/tbfleet/takeover_crash_test.go
+++ b/core/tbfleet/takeover_crash_test.go
@@ -25,7 +25,7 @@
 		fx.now = fx.now.Add(20 * time.Second)
 		fx.apply(tbflow.RecordInterference{})
 		fx.fleet = tbfleet.New(params, 2)
-		fx.fleet.TakeOver(fx.now, fx.state)
+		fx.fleet.TakeOver(fx.now, fx.state, tbfleet.NewOutstandingTimes(fx.now, fx.state))
 		fx.fleet.HandleReport(fx.now, tbfleet.Report{
 			ID: "w", Address: "a:1", Incarnation: fx.worker.incarnation + 1, Class: "c", ClockMs: 1, Sequence: 1,
 			Capacity: tbresource.Amount{MilliProcessors: 1000, MemoryMB: 1000},
--- a/core/tbfleet/takeover_test.go
+++ b/core/tbfleet/takeover_test.go
@@ -39,7 +39,7 @@
 		LeaseEndMs: fx.worker.clockMs(now) + params.Lease.Milliseconds(),
 	}, time.Hour)
 	fx.fleet = tbfleet.New(params, 2)
-	fx.fleet.TakeOver(now, fx.state)
+	fx.fleet.TakeOver(now, fx.state, tbfleet.NewOutstandingTimes(now, fx.state))
 	return fx
 }
 
--- a/core/tbfleet/throttled_test.go
+++ b/core/tbfleet/throttled_test.go
@@ -17,7 +17,7 @@
 	step := &fx.state.Jobs["j"].Steps[0]
 	step.LongRunning, step.BestEffort = false, true
 	fx.fleet = tbfleet.New(params, 2)
-	fx.fleet.TakeOver(fx.now, fx.state)
+	fx.fleet.TakeOver(fx.now, fx.state, tbfleet.NewOutstandingTimes(fx.now, fx.state))
 	for range 20 {
 		for _, poll := range fx.advanceAndTakePolls(100 * time.Millisecond) {
 			a := fx.worker.poll(fx.now, poll)
