--- a/core/tbcontrol/outstanding_times_test.go
+++ b/core/tbcontrol/outstanding_times_test.go
@@ -1,6 +1,8 @@
 package tbcontrol_test
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -69,3 +71,29 @@
 	qt.Assert(t, sim.leader() == first, qt.IsFalse)
 	sim.checkFreeAfter(restartedAt)
 }
+
+// A replica that has got the record of a start with a snapshot counts from the installation.
+func TestReplicaThatInstalledASnapshotCountsDelayFromThen(t *testing.T) {
+	sim := newOutstandingSimulation(t)
+	behind := sim.replicas[0]
+	if behind == sim.leader() {
+		behind = sim.replicas[1]
+	}
+	// It is away until the others have a snapshot of the start.
+	behind.isolated = true
+	for i := range 3 {
+		sim.submit(tbflow.Job{ID: fmt.Sprint("large", i), Spec: strings.Repeat("x", 1<<20), Steps: []tbflow.Step{{Count: 1}}})
+	}
+	qt.Assert(t, sim.leader().disk.persisted.Snapshot.Meta.Index > behind.control.State().Applied, qt.IsTrue)
+	behind = sim.simulatedGroup.start(behind.id, behind.address, behind.disk)
+	installedAt := sim.now
+	for since := sim.now; behind.control.State().Flow.Jobs["large0"] == nil; sim.run(10 * time.Millisecond) {
+		qt.Assert(t, sim.now.Sub(since) < 3*time.Second, qt.IsTrue)
+		installedAt = sim.now
+	}
+	for sim.leader() != behind {
+		qt.Assert(t, sim.now.Sub(installedAt) < maxOrderDelay-3*time.Second, qt.IsTrue)
+		sim.replaceLeader()
+	}
+	sim.checkFreeAfter(installedAt)
+}
