Play schedules with takeovers and late starts

Change: TestSchedulesWithTakeovers crashes the leader every few seconds, restarts workers twice a second and executes half of the starts late.

--- a/core/tbfleet/faults_fake_test.go
+++ b/core/tbfleet/faults_fake_test.go
@@ -71,6 +71,16 @@
 	sim.extendFaults(25 * time.Second)
 }
 
+// injectTakeoverFaults crashes the leader every few seconds, and restarts workers in between.
+func (sim *simulation) injectTakeoverFaults() {
+	if sim.rng.Float64() < leaderCrashRatePerTick {
+		sim.crashLeader()
+	}
+	if sim.rng.Float64() < workerRestartRatePerTick {
+		sim.restartWorker(sim.randomAddress())
+	}
+}
+
 func (sim *simulation) randomAddress() string { return sim.addresses[sim.rng.IntN(len(sim.addresses))] }
 
 func (sim *simulation) crashLeader() {
--- a/core/tbfleet/network_fake_test.go
+++ b/core/tbfleet/network_fake_test.go
@@ -57,7 +57,7 @@
 		sim.schedule(sim.oneWayDelay(maxAnswerDelay), func() { sim.deliverAnswer(l, sentAt, c, failedAnswer(c, tbfleet.NotSent)) })
 		return
 	}
-	late := sim.injectsFaults && sim.rng.Float64() < sim.lateRate()
+	late := sim.injectsFaults && sim.rng.Float64() < sim.lateRate(c)
 	answerLost := late || sim.injectsFaults && sim.rng.Float64() < lostAnswerRate
 	if late {
 		delay = 2*time.Second + time.Duration(sim.rng.Int64N(int64(maxOrderDelay-2*time.Second)))
@@ -103,8 +103,11 @@
 	})
 }
 
-// lateRate returns the current fraction of orders that are executed late.
-func (sim *simulation) lateRate() float64 {
+// lateRate returns the current fraction of orders like this one that are executed late.
+func (sim *simulation) lateRate(c tbfleet.Order) float64 {
+	if _, ok := c.(tbfleet.Start); ok && sim.hasTakeovers {
+		return burstLateOrderRate
+	}
 	if sim.now.Before(sim.lateBurstUntil) {
 		return burstLateOrderRate
 	}
--- a/core/tbfleet/schedule_test.go
+++ b/core/tbfleet/schedule_test.go
@@ -44,7 +44,10 @@
 const (
 	workerCount      = 4
 	faultRatePerTick = 0.008
-	failureRate      = 0.15
+	// leaderCrashRatePerTick and workerRestartRatePerTick are those of schedules with takeovers, in addition.
+	leaderCrashRatePerTick   = 0.003
+	workerRestartRatePerTick = 0.02
+	failureRate              = 0.15
 	// probePrefix is the prefix of the IDs of the jobs that probe each worker after the faults.
 	probePrefix = "probe"
 )
@@ -89,6 +92,8 @@
 	events        []event
 	logLines      []string
 	injectsFaults bool
+	// hasTakeovers adds takeovers, restarts of workers and starts that are executed late.
+	hasTakeovers bool
 	// crashCount is the number of recorded crashes.
 	crashCount int
 	// copyRNG draws the tasks that get second runs. It is nil if none do.
@@ -221,6 +226,9 @@
 		if sim.injectsFaults && sim.rng.Float64() < faultRatePerTick {
 			sim.injectFault()
 		}
+		if sim.injectsFaults && sim.hasTakeovers {
+			sim.injectTakeoverFaults()
+		}
 	}
 }
 
@@ -252,6 +260,11 @@
 	}
 }
 
+// TestSchedulesWithTakeovers adds takeovers and restarts of workers while many starts are executed late.
+func TestSchedulesWithTakeovers(t *testing.T) {
+	runSchedules(t, func(sim *simulation, _ uint64) { sim.hasTakeovers = true })
+}
+
 // runSchedules runs the schedules that the flags select. prepare changes each simulation first.
 func runSchedules(t *testing.T, prepare func(sim *simulation, seed uint64)) {
 	crashCount, played := 0, 0
