Keep a start outstanding if its worker restarts before it is recorded

Cause: a leader that has proposed to record a start as unanswered, and that learns of a restart of the worker before this is committed, also proposed an end of the run. Applied after the record, that end settled the outstanding start, because the run counted as executed and ended. The task was started elsewhere, and a later incarnation executed the start beside it. A leader without its quorum has seconds for that.

Change: such a run is kept until its record is applied, and gets no end.

--- a/core/tbfleet/lost_workers.go
+++ b/core/tbfleet/lost_workers.go
@@ -105,6 +105,11 @@
 	var ends []tbflow.End
 	keptRuns := map[tbflow.TaskRef]*Run{}
 	for ref, run := range w.runs {
+		if run.isUnanswered {
+			// An end would settle the start, which the new incarnation may still execute.
+			keptRuns[ref] = run
+			continue
+		}
 		if run.mayBeAtLaterIncarnation() {
 			run.Phase, run.stopRequested, run.stopSentAt = RunUnconfirmed, false, time.Time{}
 			run.stopConfirmedAt = time.Time{}
