--- a/core/tbassign/assign_test.go
+++ b/core/tbassign/assign_test.go
@@ -28,7 +28,7 @@
 	b := &fixture{
 		t: t, now: time.UnixMilli(1_700_000_000_000), state: tbflow.New(), learner: NewLearner(), rebalancer: NewRebalancer(), seq: map[string]uint64{},
 		fleet: tbfleet.New(tbfleet.Params{
-			Lease: 4 * time.Second, MaxLease: 6 * time.Second, MaxOrderDelay: 12 * time.Second, ClockRateBound: 0.02,
+			Lease: 4 * time.Second, MaxLease: 6 * time.Second, MaxOrderDelay: 12 * time.Second, MaxDeliveryDelay: 12 * time.Second, ClockRateBound: 0.02,
 			PollWait: time.Second, OrderTimeout: time.Second, SilenceTimeout: time.Hour, PollRetryDelay: time.Second,
 		}, 1),
 	}
@@ -454,7 +454,7 @@
 	for i := range 100 {
 		b.submit("fill", fmt.Sprintf("f%d", i), bestEffortStep(8, "x"))
 	}
-	b.fleet.TakeOver(b.now, b.state)
+	b.fleet.TakeOver(b.now, b.state, tbfleet.NewOutstandingTimes(b.now, b.state))
 	b.fleet.HandleReport(b.now, tbfleet.Report{
 		ID: "w00", Address: "w00", Incarnation: 1, Class: "c", ClockMs: 1, Sequence: 1,
 		Capacity: tbresource.Amount{MilliProcessors: 32_000, MemoryMB: 125_000},
--- a/core/tbcontrol/leader_load_fake_test.go
+++ b/core/tbcontrol/leader_load_fake_test.go
@@ -197,7 +197,7 @@
 			SnapshotEvery: 1 << 40, MaxInFlight: 2, MaxBatchCommands: 512, MaxBatchBytes: 512 << 10, MaxWaiting: 20_000, MaxApplied: 64,
 			Placement: tbplacement.DefaultConfig(), PlacementInterval: 50 * time.Millisecond, GrantInterval: 250 * time.Millisecond,
 			Fleet: tbfleet.Params{
-				Lease: 6 * time.Second, MaxLease: 6 * time.Second, MaxOrderDelay: 12 * time.Second, ClockRateBound: 0.02,
+				Lease: 6 * time.Second, MaxLease: 6 * time.Second, MaxOrderDelay: 12 * time.Second, MaxDeliveryDelay: 12 * time.Second, ClockRateBound: 0.02,
 				PollWait: loadPollWait, OrderTimeout: time.Second, SilenceTimeout: 3 * time.Second, PollRetryDelay: 250 * time.Millisecond,
 			},
 		}, tbcodec.New(func(source []byte) (tbbundle.Bundle, error) { return tbbundlefile.Parse("bundle", source) }),
--- a/core/tbfleet/network_fake_test.go
+++ b/core/tbfleet/network_fake_test.go
@@ -69,7 +69,7 @@
 		sim.schedule(sim.oneWayDelay(maxAnswerDelay), func() { sim.deliverAnswer(l, issuedAt, c, failedAnswer(c, tbfleet.NotSent)) })
 		return
 	}
-	late := sim.injectsFaults && sim.rng.Float64() < sim.lateRate()
+	late := sim.injectsFaults && sim.rng.Float64() < sim.lateRate(c)
 	answerLost := late || sentAt.Sub(issuedAt) >= timeout || sim.injectsFaults && sim.rng.Float64() < lostAnswerRate
 	if late {
 		delay += 2*time.Second + time.Duration(sim.rng.Int64N(int64(maxDeliveryDelay-2*time.Second)-int64(10*time.Millisecond)))
@@ -115,8 +115,11 @@
 	})
 }
 
-// lateRate returns the current fraction of orders that are executed late.
-func (sim *simulation) lateRate() float64 {
+// lateRate returns the current fraction of orders like this one that are executed late.
+func (sim *simulation) lateRate(c tbfleet.Order) float64 {
+	if _, ok := c.(tbfleet.Start); ok && sim.hasTakeovers {
+		return burstLateOrderRate
+	}
 	if sim.now.Before(sim.lateBurstUntil) {
 		return burstLateOrderRate
 	}
--- a/core/tbfleet/outstanding.go
+++ b/core/tbfleet/outstanding.go
@@ -12,7 +12,8 @@
 type outstandingStart struct {
 	tbflow.OutstandingStart
 	ref tbflow.TaskRef
-	// startUntil is the latest time at which a worker may execute the start.
+	// startUntil is the latest time at which a worker may execute the start, or a later time if an earlier leader sent
+	// it, see OutstandingTimes.
 	startUntil time.Time
 	// receivedAt is when the leader learned that a worker has received the start, which is then not executed later,
 	// or zero.
