--- a/core/tbfleet/gone_test.go
+++ b/core/tbfleet/gone_test.go
@@ -177,3 +177,44 @@
 	fx.run(sentAt.Add(maxDeliveryDelay+200*time.Millisecond).Sub(fx.now), true)
 	qt.Check(t, fx.state.IsBound(fx.ref), qt.IsFalse)
 }
+
+// A leader was suspended while a renewal of the lease was in flight. The tasks of the worker must wait until the renewal
+// cannot be executed any more, although its result was not known when the leader continued.
+func TestRenewalInFlightProlongsTheWaitOfASuspendedLeader(t *testing.T) {
+	fx := newBoundFixtureOf(true)
+	sentAt := fx.now
+	fx.runUntilWaiting(t)
+	fx.run(300*time.Millisecond, true)
+	fx.startAgain()
+	fx.run(sentAt.Add(maxDeliveryDelay-2*time.Second).Sub(fx.now), true)
+	var renewal tbfleet.Poll
+	for since := fx.now; renewal.LeaseEndMs == 0; fx.now = fx.now.Add(tick) {
+		qt.Assert(t, fx.now.Sub(since) < params.Lease/2, qt.IsTrue)
+		fx.fleet.Tick(fx.now)
+		for _, o := range fx.fleet.TakeOutput().Orders {
+			poll, ok := o.(tbfleet.Poll)
+			switch {
+			case ok && poll.LeaseEndMs > 0:
+				renewal = poll
+			case ok:
+				a := fx.worker.poll(fx.now, poll)
+				a.SentAt = fx.now
+				fx.fleet.HandlePollAnswered(fx.now, a)
+			}
+		}
+	}
+	renewedAt := fx.now
+	fx.worker.crash()
+
+	fx.now = sentAt.Add(maxOrderDelay + params.MaxLease + time.Second)
+	fx.run(tick, false)
+	qt.Assert(t, fx.state.IsBound(fx.ref), qt.IsTrue)
+	fx.fleet.HandlePollAnswered(fx.now, tbfleet.PollAnswered{
+		Worker: "w", Incarnation: fx.worker.incarnation, LeaseEndMs: renewal.LeaseEndMs, SentAt: renewedAt, SentBefore: renewedAt,
+	})
+	for fx.state.IsBound(fx.ref) {
+		qt.Assert(t, fx.now.Sub(renewedAt) < maxDeliveryDelay+maxReturnTime, qt.IsTrue)
+		fx.run(100*time.Millisecond, false)
+	}
+	qt.Check(t, fx.now.Sub(renewedAt) >= maxDeliveryDelay+params.MaxLease, qt.IsTrue)
+}
