Record silent workers, so that later leaders know of no renewal since

Cause: a leader that takes over does not know when the lease of a worker was last renewed. It waited for the lease, and for the longest delay of the last renewal, from its takeover, although the worker had been gone for long.

Change: a leader records that a worker with runs or outstanding starts has been silent for 2 s. From the proposal on, the worker gets no starts and no renewals under any incarnation, until the end of its silence is committed. Each replica notes when it applied the record; a later leader counts the waits for the lease, for outstanding starts and for starts in flight to the worker from then. Two commands for each silence, and one commit before the lease of a worker that answers again is renewed.

--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -40,7 +40,9 @@
 	bestEffortStarts   []*Run
 	bestEffortUnderWay int
 	outstanding        outstandingStarts
-	output             Output
+	// silences holds the silences of workers, by ID.
+	silences map[string]*silence
+	output   Output
 }
 
 // Worker is the leader's view of one incarnation of a worker.
@@ -146,7 +148,7 @@
 // New returns a fleet for the leader of a term. The term must be higher than that of any earlier
 // leader, because it is the high part of the fencing tokens.
 func New(params Params, term uint64) *Fleet {
-	return &Fleet{params: params, term: term, workers: map[string]*Worker{}, workersByAddress: map[string][]*Worker{}, removedAt: map[string]time.Time{}, firstFailedOn: map[string]string{}, crashesByAddress: map[string]machineCrashes{}, pollPermits: map[incarnationKey]bool{}, outstanding: newOutstandingStarts()}
+	return &Fleet{params: params, term: term, workers: map[string]*Worker{}, workersByAddress: map[string][]*Worker{}, removedAt: map[string]time.Time{}, firstFailedOn: map[string]string{}, crashesByAddress: map[string]machineCrashes{}, pollPermits: map[incarnationKey]bool{}, outstanding: newOutstandingStarts(), silences: map[string]*silence{}}
 }
 
 // TakeOver loads the recorded workers and the runs that the state assigns to workers.
@@ -156,10 +158,13 @@
 // waits for such a run therefore begin now, not at the start. An outstanding start was sent before
 // this replica applied its record, and its longest delay is counted from then.
 func (f *Fleet) TakeOver(now time.Time, s *tbflow.State, applied *OutstandingTimes) {
+	for id := range s.Silent {
+		f.silences[id] = &silence{}
+	}
 	for ref := range s.Outstanding {
 		f.updateOutstanding(now, s, ref)
 		for _, o := range f.outstanding.byTask[ref] {
-			o.sentAt = applied.sentBefore(now, o)
+			o.sentAt, o.renewedAt = applied.sentBefore(now, o), applied.renewedBefore(now, o.Worker)
 		}
 	}
 	for id, r := range s.Workers {
@@ -183,11 +188,12 @@
 	}
 	for _, id := range s.BusyWorkers() {
 		w := f.ensureWorker(id)
-		w.leaseExpiresAt = now.Add(f.maxLeaseDuration(f.params.MaxLease))
-		w.leaseRenewalSentAt = now
+		renewedBefore := applied.renewedBefore(now, id)
+		w.leaseExpiresAt = renewedBefore.Add(f.maxLeaseDuration(f.params.MaxLease))
+		w.leaseRenewalSentAt = renewedBefore
 		earlierRuns := map[int64][]tbflow.CrashedRun{}
 		s.EachRun(id, func(ref tbflow.TaskRef, t *tbflow.Task) {
-			run := &Run{Number: t.Run, Checkpoint: t.Checkpoint, Speed: FullSpeed, startSentAt: now, listed: s.IsListed(ref, t.Run)}
+			run := &Run{Number: t.Run, Checkpoint: t.Checkpoint, Speed: FullSpeed, startSentAt: renewedBefore, listed: s.IsListed(ref, t.Run)}
 			if step := s.StepOf(ref); step != nil {
 				run.SpeedUnknown, run.longRunning, run.speculative = step.BestEffort, step.LongRunning, step.Speculative
 			}
@@ -327,7 +333,7 @@
 
 // Usable reports whether the worker may get a new task now.
 func (f *Fleet) Usable(w *Worker, now time.Time) bool {
-	return w.registered && !w.Draining && !w.Unresponsive && !w.needsFence && w.lapse != lapsing && w.lastClockReading.isKnown() &&
+	return w.registered && !w.Draining && !w.Unresponsive && !f.isSilent(w.ID) && !w.needsFence && w.lapse != lapsing && w.lastClockReading.isKnown() &&
 		w.unackedEndCount < maxUnackedEnds && now.Sub(w.LastHeardAt) < f.params.SilenceTimeout && !now.Before(w.AvoidUntil) &&
 		!now.Before(w.ObservedUntil) && !f.hasOverdueStart(w, now)
 }
--- a/core/tbfleet/leader_fake_test.go
+++ b/core/tbfleet/leader_fake_test.go
@@ -360,6 +360,10 @@
 		return fmt.Sprintf("%s 0 %020d %v", c.Worker, c.Incarnation, c.Runs)
 	case tbflow.RecordSettled:
 		return fmt.Sprint("settled ", c.Starts)
+	case tbflow.RecordSilent:
+		return c.Worker + " 4"
+	case tbflow.RecordHeard:
+		return c.Worker + " 5"
 	case tbflow.RecordSignedOff:
 		return fmt.Sprintf("%s 3 %020d", c.Worker, c.Incarnation)
 	case tbflow.RemoveWorker:
--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -63,9 +63,9 @@
 	}
 	run := &Run{Number: a.Run, Phase: RunOrdered, Checkpoint: t.Checkpoint, Speed: FullSpeed, startSentAt: now, longRunning: j.Steps[a.Ref.Step].LongRunning, speculative: j.Steps[a.Ref.Step].Speculative}
 	w.runs[a.Ref] = run
-	if !w.registered || w.Incarnation != a.Incarnation || !w.lastClockReading.isKnown() || w.lapse == lapsing {
+	if !w.registered || w.Incarnation != a.Incarnation || !w.lastClockReading.isKnown() || w.lapse == lapsing || f.isSilent(w.ID) {
 		// No order is sent: either the intended incarnation no longer exists, or no lease can be
-		// granted because its clock is unknown or its lease has to end.
+		// granted because its clock is unknown, its lease has to end or it is silent.
 		f.proposeNeverRan(w, a.Incarnation, a.Ref, run)
 		return
 	}
@@ -302,6 +302,8 @@
 			f.updateOutstanding(now, s, r.Ref)
 		}
 		f.handleRecordedEnds(now, s, c.Worker, c.Incarnation)
+	case tbflow.RecordHeard:
+		delete(f.silences, c.Worker)
 	case tbflow.RecordSettled:
 		for _, settled := range c.Starts {
 			f.updateOutstanding(now, s, settled.Ref)
--- a/core/tbfleet/outstanding_times.go
+++ b/core/tbfleet/outstanding_times.go
@@ -12,6 +12,8 @@
 // a start is issued before its record is proposed, and a record is applied after it was proposed.
 type OutstandingTimes struct {
 	byTask map[tbflow.TaskRef][]appliedStart
+	// silentSince holds when the silence of each silent worker was applied.
+	silentSince map[string]time.Time
 }
 
 // appliedStart is an outstanding start whose record was applied.
@@ -23,7 +25,10 @@
 
 // NewOutstandingTimes returns the times of a replica that reads the state from a snapshot now.
 func NewOutstandingTimes(now time.Time, s *tbflow.State) *OutstandingTimes {
-	t := &OutstandingTimes{byTask: map[tbflow.TaskRef][]appliedStart{}}
+	t := &OutstandingTimes{byTask: map[tbflow.TaskRef][]appliedStart{}, silentSince: map[string]time.Time{}}
+	for id := range s.Silent {
+		t.silentSince[id] = now
+	}
 	for ref := range s.Outstanding {
 		t.update(now, s, ref)
 	}
@@ -33,6 +38,12 @@
 // HandleApplied notes the outstanding starts that a command has recorded or settled. The state may be that after
 // further commands.
 func (t *OutstandingTimes) HandleApplied(now time.Time, s *tbflow.State, c tbflow.Command) {
+	switch c := c.(type) {
+	case tbflow.RecordSilent:
+		t.silentSince[c.Worker] = now
+	case tbflow.RecordHeard:
+		delete(t.silentSince, c.Worker)
+	}
 	if len(t.byTask) == 0 && len(s.Outstanding) == 0 {
 		return
 	}
@@ -100,3 +111,12 @@
 	}
 	return now
 }
+
+// renewedBefore returns a time before which an earlier leader last sent a start or a renewal of the lease to a worker,
+// if another leader takes over now. No leader does so after it has proposed to record the silence of the worker.
+func (t *OutstandingTimes) renewedBefore(now time.Time, worker string) time.Time {
+	if since, ok := t.silentSince[worker]; ok {
+		return since
+	}
+	return now
+}
--- a/core/tbfleet/poll.go
+++ b/core/tbfleet/poll.go
@@ -17,6 +17,7 @@
 		f.reconcile(now, w)
 	}
 	f.settleExpired(now)
+	f.proposeSilences(now)
 	f.removeSilent(now)
 }
 
@@ -73,7 +74,7 @@
 	}
 	timeToSettle := f.timeToSettle(now, w)
 	mayWait := w.hasAnswered && !w.Unresponsive && !w.needsRecheck() && timeToSettle >= 0
-	if len(w.runs) > 0 && !w.Unresponsive && w.lapse != lapsing {
+	if len(w.runs) > 0 && !w.Unresponsive && w.lapse != lapsing && !f.isSilent(w.ID) {
 		poll.LeaseEndMs = f.renewLease(now, w)
 	}
 	if (len(w.runs) > 0 || f.outstanding.existAt(w)) && mayWait {
@@ -158,6 +159,7 @@
 		f.reconcile(now, w)
 		return
 	case a.Outcome == Accepted && a.ActualIncarnation > w.Incarnation:
+		f.endSilence(w.ID)
 		report := w.Report
 		report.Incarnation, report.Sequence, report.Draining, report.ClockMs = a.ActualIncarnation, 0, false, a.ClockMs
 		f.handleRestart(now, w, report)
@@ -190,6 +192,7 @@
 		w.leaseExpiresAt = maxTime(w.leaseExpiresAt, now.Add(f.maxLeaseDuration(f.params.MaxLease)))
 	}
 	w.Unresponsive, w.hasAnswered, w.needsFence = false, true, false
+	f.endSilence(w.ID)
 	w.lastAckedEnd = max(w.lastAckedEnd, a.LastRecordedEnd)
 	if a.LastRecordedEnd > 0 {
 		w.ackInFlight = false
--- a/core/tbfleet/replicas_fake_test.go
+++ b/core/tbfleet/replicas_fake_test.go
@@ -113,6 +113,9 @@
 	if n := r.times.TaskCount(); n != len(sim.state.Outstanding) {
 		sim.failf("a replica has the times of %d tasks with outstanding starts, and there are %d", n, len(sim.state.Outstanding))
 	}
+	if n := r.times.SilentCount(); n != len(sim.state.Silent) {
+		sim.failf("a replica has the times of %d silent workers, and there are %d", n, len(sim.state.Silent))
+	}
 }
 
 func later(a, b time.Time) time.Time {
--- /dev/null
+++ b/core/tbfleet/silence.go
@@ -0,0 +1,50 @@
+package tbfleet
+
+import (
+	"time"
+
+	"tamarackbarrow/core/tbflow"
+)
+
+// silenceAfter is the time without contact after which a worker that does not answer is recorded as silent. Most workers
+// that are slow answer earlier.
+const silenceAfter = 2 * time.Second
+
+// silence is the silence of one worker, from its proposal until its end is recorded.
+type silence struct {
+	// isEnding is true once the end is proposed.
+	isEnding bool
+}
+
+// isSilent reports whether a worker gets no starts and no renewals of its lease.
+func (f *Fleet) isSilent(id string) bool { return f.silences[id] != nil }
+
+// proposeSilences proposes to record the silence of workers, and the end of silences that nothing depends on.
+func (f *Fleet) proposeSilences(now time.Time) {
+	for _, w := range f.sortedWorkers {
+		if w.Unresponsive && now.Sub(w.LastHeardAt) > silenceAfter && !f.isSilent(w.ID) && f.dependsOnLease(w.ID) {
+			f.silences[w.ID] = &silence{}
+			f.output.Commands = append(f.output.Commands, tbflow.RecordSilent{Worker: w.ID})
+		}
+	}
+	for id := range f.silences {
+		if !f.dependsOnLease(id) {
+			f.endSilence(id)
+		}
+	}
+}
+
+// dependsOnLease reports whether a task may have to wait for the end of the lease of a worker.
+func (f *Fleet) dependsOnLease(id string) bool {
+	w := f.workers[id]
+	return w != nil && len(w.runs) > 0 || len(f.outstanding.byWorker[id]) > 0
+}
+
+// endSilence proposes to record the end of a silence. The lease is renewed only once that is applied, because a later
+// leader would otherwise count from the beginning of the silence.
+func (f *Fleet) endSilence(id string) {
+	if s := f.silences[id]; s != nil && !s.isEnding {
+		s.isEnding = true
+		f.output.Commands = append(f.output.Commands, tbflow.RecordHeard{Worker: id})
+	}
+}
--- a/core/tbflow/state.go
+++ b/core/tbflow/state.go
@@ -61,6 +61,8 @@
 	Lost map[string]LostRuns
 	// Outstanding holds the outstanding starts of each task.
 	Outstanding map[TaskRef][]OutstandingStart
+	// Silent holds the workers that are recorded as silent.
+	Silent map[string]bool
 	// Evacuations holds, by data centre, what is known of the orders to evacuate it.
 	Evacuations map[string]Evacuation
 	// DataCentres holds the data centres in which a worker was ever recorded.
@@ -88,7 +90,7 @@
 func New() *State {
 	return &State{
 		Jobs: map[string]*Job{}, Workers: map[string]*WorkerRecord{}, Listed: map[TaskRef]uint64{},
-		Crashes: map[TaskRef][]Crash{}, Lost: map[string]LostRuns{}, Outstanding: map[TaskRef][]OutstandingStart{},
+		Crashes: map[TaskRef][]Crash{}, Lost: map[string]LostRuns{}, Outstanding: map[TaskRef][]OutstandingStart{}, Silent: map[string]bool{},
 		Evacuations: map[string]Evacuation{}, DataCentres: map[string]bool{}, Copies: map[TaskRef]CopyRun{},
 		assignedTasks: map[string]map[TaskRef]*Task{}, usageByWorker: map[string]Usage{}, runChanges: map[string]uint64{},
 	}
@@ -223,6 +225,12 @@
 	case RecordSettled:
 		s.recordSettled(c)
 		return OK
+	case RecordSilent:
+		s.Silent[c.Worker] = true
+		return OK
+	case RecordHeard:
+		delete(s.Silent, c.Worker)
+		return OK
 	case RecordSignedOff:
 		if w := s.Workers[c.Worker]; w != nil && w.Incarnation == c.Incarnation {
 			w.SignedOff = true
--- a/io/tbflowcodec/codec.go
+++ b/io/tbflowcodec/codec.go
@@ -25,6 +25,7 @@
 		tbflow.RecordUnanswered{}, tbflow.RecordSettled{}, tbflow.RecordSignedOff{},
 		tbflow.SetEvacuation{},
 		tbflow.AssignCopies{},
+		tbflow.RecordSilent{}, tbflow.RecordHeard{},
 	}
 	leaderRequestTypes = []any{
 		tbcontrol.SubmitRequested{}, tbcontrol.CancelRequested{}, tbcontrol.JobStateRequested{}, tbcontrol.QueueLengthRequested{},
@@ -87,6 +88,7 @@
 	Evacuations  map[string]tbflow.Evacuation
 	DataCentres  []string
 	Copies       []taskCopy
+	Silent       []string
 }
 
 // taskCopy holds the second run of one task.
@@ -111,7 +113,7 @@
 func (st *storedState) DecodeMsgpack(d *msgpack.Decoder) error {
 	fields := []any{
 		&st.NowMs, &st.Config, &st.Jobs, &st.Workers, &st.NextSeq, &st.Interference, &st.Listed, &st.Crashes, &st.Lost, &st.Outstanding,
-		&st.Evacuations, &st.DataCentres, &st.Copies,
+		&st.Evacuations, &st.DataCentres, &st.Copies, &st.Silent,
 	}
 	n, err := d.DecodeArrayLen()
 	if err != nil {
@@ -130,7 +132,7 @@
 
 // EncodeState encodes the state of multi-step jobs for a snapshot.
 func EncodeState(s *tbflow.State) []byte {
-	st := storedState{NowMs: s.NowMs, Config: s.Config, Workers: s.Workers, NextSeq: s.NextSeq, Interference: s.Interference, Lost: s.Lost, Evacuations: s.Evacuations, DataCentres: slices.Sorted(maps.Keys(s.DataCentres))}
+	st := storedState{NowMs: s.NowMs, Config: s.Config, Workers: s.Workers, NextSeq: s.NextSeq, Interference: s.Interference, Lost: s.Lost, Evacuations: s.Evacuations, DataCentres: slices.Sorted(maps.Keys(s.DataCentres)), Silent: slices.Sorted(maps.Keys(s.Silent))}
 	for _, j := range s.Jobs {
 		st.Jobs = append(st.Jobs, j)
 	}
@@ -187,6 +189,9 @@
 	for _, c := range st.Copies {
 		s.Copies[c.Ref] = c.Copy
 	}
+	for _, id := range st.Silent {
+		s.Silent[id] = true
+	}
 	s.Rebuild()
 	return s, nil
 }
--- a/io/tbflowcodec/codec_test.go
+++ b/io/tbflowcodec/codec_test.go
@@ -40,13 +40,14 @@
 		tbflow.RecordUnanswered{Worker: "w", Incarnation: 5, Address: "a:1", Runs: []tbflow.RunRef{{Ref: ref, Run: 4}}},
 		tbflow.RecordSettled{Starts: []tbflow.SettledStart{{Ref: ref, Start: tbflow.OutstandingStart{Run: 4, Worker: "w", Incarnation: 5, Address: "a:1"}}}},
 		tbflow.AssignCopies{Assignments: []tbflow.Assignment{{Ref: ref, Run: 4, Worker: "w", Incarnation: 5}}},
+		tbflow.RecordSilent{Worker: "w"}, tbflow.RecordHeard{Worker: "w"},
 	} {
 		decoded, err := DecodeCommand(EncodeCommand(c))
 		qt.Assert(t, err, qt.IsNil)
 		// qt.DeepEquals cannot compare the unexported fields of a job.
 		qt.Check(t, reflect.DeepEqual(decoded, c), qt.IsTrue, qt.Commentf("%v, not %v", decoded, c))
 	}
-	qt.Check(t, len(commandTypes), qt.Equals, 18, qt.Commentf("add a case for each new command type"))
+	qt.Check(t, len(commandTypes), qt.Equals, 20, qt.Commentf("add a case for each new command type"))
 }
 
 // For the requests, only the types are compared, because all fields of leaderRequestTypes are zero.
@@ -81,8 +82,10 @@
 	s.Apply(12, tbflow.Submit{Job: tbflow.Job{ID: "c", Steps: []tbflow.Step{{Count: 1, Speculative: true, Need: tbresource.Amount{MilliProcessors: 5}}}}, Host: "h", Path: "/p/c"})
 	s.Apply(13, tbflow.Assign{Assignments: []tbflow.Assignment{{Ref: tbflow.TaskRef{Job: "c"}, Run: 1, Worker: "w", Incarnation: 9}}})
 	s.Apply(14, tbflow.AssignCopies{Assignments: []tbflow.Assignment{{Ref: tbflow.TaskRef{Job: "c"}, Run: 2, Worker: "x", Incarnation: 4}}})
+	s.Apply(15, tbflow.RecordSilent{Worker: "x"})
 	decoded, err := DecodeState(EncodeState(s))
 	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, decoded.Silent, qt.DeepEquals, map[string]bool{"x": true})
 	qt.Check(t, decoded.Evacuations, qt.DeepEquals, map[string]tbflow.Evacuation{"z": {SinceMs: 11, StartedMs: 10, StoppedMs: 11}})
 	qt.Check(t, decoded.DataCentres, qt.DeepEquals, map[string]bool{"z": true})
 	qt.Check(t, decoded.Outstanding, qt.DeepEquals, map[tbflow.TaskRef][]tbflow.OutstandingStart{
@@ -128,6 +131,7 @@
 	qt.Check(t, decoded.Evacuations, qt.HasLen, 0)
 	qt.Check(t, decoded.DataCentres, qt.DeepEquals, map[string]bool{"d": true})
 	qt.Check(t, decoded.Copies, qt.HasLen, 0)
+	qt.Check(t, decoded.Silent, qt.HasLen, 0)
 }
 
 // Snapshots and commands of earlier versions have jobs without the data centre of the caller, configurations without
