Merge the record of silent workers

Cause: a later leader does not know whether an earlier one renewed the lease of a lost worker until its end, and counted all waits for that worker from its takeover, although no order had been sent there for long.

--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -42,6 +42,8 @@
 	outstanding        outstandingStarts
 	// renewals holds, for each worker ID, what is known of the orders that renew its lease.
 	renewals map[string]*renewals
+	// silences holds the silences of workers, by ID.
+	silences map[string]*silence
 	output   Output
 }
 
@@ -147,7 +149,7 @@
 // New returns a fleet for the leader of a term. The term must be higher than that of any earlier
 // leader, because it is the high part of the fencing tokens.
 func New(params Params, term uint64) *Fleet {
-	return &Fleet{params: params, term: term, workers: map[string]*Worker{}, workersByAddress: map[string][]*Worker{}, removedAt: map[string]time.Time{}, firstFailedOn: map[string]string{}, crashesByAddress: map[string]machineCrashes{}, pollPermits: map[incarnationKey]bool{}, outstanding: newOutstandingStarts(), renewals: map[string]*renewals{}}
+	return &Fleet{params: params, term: term, workers: map[string]*Worker{}, workersByAddress: map[string][]*Worker{}, removedAt: map[string]time.Time{}, firstFailedOn: map[string]string{}, crashesByAddress: map[string]machineCrashes{}, pollPermits: map[incarnationKey]bool{}, outstanding: newOutstandingStarts(), renewals: map[string]*renewals{}, silences: map[string]*silence{}}
 }
 
 // TakeOver loads the recorded workers and the runs that the state assigns to workers.
@@ -157,6 +159,9 @@
 // waits for such a run therefore begin now, not at the start. An outstanding start was sent before
 // this replica applied its record, and its longest delay is counted from then.
 func (f *Fleet) TakeOver(now time.Time, s *tbflow.State, applied *OutstandingTimes) {
+	for id := range s.Silent {
+		f.silences[id] = &silence{}
+	}
 	for ref := range s.Outstanding {
 		f.updateOutstanding(now, s, ref)
 		for _, o := range f.outstanding.byTask[ref] {
@@ -164,7 +169,7 @@
 		}
 	}
 	for id := range f.outstanding.byWorker {
-		f.assumeRenewals(now, id)
+		f.assumeRenewals(applied.renewedBefore(now, id), id)
 		if s.Workers[id] == nil {
 			f.removedAt[id] = now
 		}
@@ -176,7 +181,7 @@
 		}
 		w.Incarnation, w.lastRecordedEnd, w.lastProposedEnd, w.Draining = r.Incarnation, r.LastRecordedEnd, r.LastRecordedEnd, r.Draining
 		if r.SignedOff || r.Draining {
-			w.leaseExpiresAt = now.Add(f.maxLeaseDuration(f.params.MaxLease))
+			w.leaseExpiresAt = applied.renewedBefore(now, id).Add(f.maxLeaseDuration(f.params.MaxLease))
 		}
 		if r.SignedOff {
 			w.signedOff, w.LastHeardAt = true, now
@@ -193,11 +198,12 @@
 	}
 	for _, id := range s.BusyWorkers() {
 		w := f.ensureWorker(id)
-		f.assumeRenewals(now, id)
-		w.leaseExpiresAt = now.Add(f.maxLeaseDuration(f.params.MaxLease))
+		renewedBefore := applied.renewedBefore(now, id)
+		f.assumeRenewals(renewedBefore, id)
+		w.leaseExpiresAt = renewedBefore.Add(f.maxLeaseDuration(f.params.MaxLease))
 		earlierRuns := map[int64][]tbflow.CrashedRun{}
 		s.EachRun(id, func(ref tbflow.TaskRef, t *tbflow.Task) {
-			run := &Run{Number: t.Run, Checkpoint: t.Checkpoint, Speed: FullSpeed, startSentAt: now, startUntil: now.Add(f.params.MaxOrderDelay), listed: s.IsListed(ref, t.Run)}
+			run := &Run{Number: t.Run, Checkpoint: t.Checkpoint, Speed: FullSpeed, startSentAt: now, startUntil: renewedBefore.Add(f.params.MaxOrderDelay), listed: s.IsListed(ref, t.Run)}
 			if step := s.StepOf(ref); step != nil {
 				run.SpeedUnknown, run.longRunning, run.speculative = step.BestEffort, step.LongRunning, step.Speculative
 			}
@@ -341,7 +347,7 @@
 
 // Usable reports whether the worker may get a new task now.
 func (f *Fleet) Usable(w *Worker, now time.Time) bool {
-	return w.registered && !w.Draining && !w.Unresponsive && !w.needsFence && w.lapse != lapsing && w.lastClockReading.isKnown() &&
+	return w.registered && !w.Draining && !w.Unresponsive && !f.isSilent(w.ID) && !w.needsFence && w.lapse != lapsing && w.lastClockReading.isKnown() &&
 		w.unackedEndCount < maxUnackedEnds && now.Sub(w.LastHeardAt) < f.params.SilenceTimeout && !now.Before(w.AvoidUntil) &&
 		!now.Before(w.ObservedUntil) && !f.hasOverdueStart(w, now)
 }
--- a/core/tbfleet/poll.go
+++ b/core/tbfleet/poll.go
@@ -17,6 +17,7 @@
 		f.reconcile(now, w)
 	}
 	f.settleExpired(now)
+	f.proposeSilences(now)
 	f.removeSilent(now)
 }
 
@@ -166,6 +167,7 @@
 		f.reconcile(now, w)
 		return
 	case a.Outcome == Accepted && a.ActualIncarnation > w.Incarnation:
+		f.endSilence(w.ID)
 		report := w.Report
 		report.Incarnation, report.Sequence, report.Draining, report.ClockMs = a.ActualIncarnation, 0, false, a.ClockMs
 		f.handleRestart(now, w, report)
@@ -201,6 +203,7 @@
 	if a.LeaseEndMs > 0 {
 		w.renewalAnsweredFrom = a.SentAt
 	}
+	f.endSilence(w.ID)
 	w.lastAckedEnd = max(w.lastAckedEnd, a.LastRecordedEnd)
 	if a.LastRecordedEnd > 0 {
 		w.ackInFlight = false
--- a/core/tbfleet/renewals.go
+++ b/core/tbfleet/renewals.go
@@ -26,7 +26,7 @@
 
 // mayRenew reports whether a poll may renew the worker's lease now.
 func (f *Fleet) mayRenew(now time.Time, w *Worker) bool {
-	if len(w.runs) == 0 || w.Unresponsive || w.lapse == lapsing {
+	if len(w.runs) == 0 || w.Unresponsive || w.lapse == lapsing || f.isSilent(w.ID) {
 		return false
 	}
 	return !f.hasUnansweredStart(w) || now.Sub(w.renewalAnsweredFrom) >= f.renewalInterval()
@@ -55,9 +55,9 @@
 	return r
 }
 
-// assumeRenewals records that an earlier leader may have renewed the lease of a worker until now.
-func (f *Fleet) assumeRenewals(now time.Time, worker string) {
-	f.renewalsOf(worker).executableUntil = now.Add(f.params.MaxOrderDelay)
+// assumeRenewals records that an earlier leader may have renewed the lease of a worker until the given time.
+func (f *Fleet) assumeRenewals(until time.Time, worker string) {
+	f.renewalsOf(worker).executableUntil = until.Add(f.params.MaxOrderDelay)
 }
 
 // noteRenewalResult handles the result of an order that renews the lease. issuedAt is when the order was issued or a
