--- a/core/tbcontrol/group_test.go
+++ b/core/tbcontrol/group_test.go
@@ -111,7 +111,7 @@
 		MaxJobBytes: maxJobBytes, SnapshotBytes: snapshotBytes,
 		Placement: tbplacement.DefaultConfig(), GroupSize: groupSize,
 		Fleet: tbfleet.Params{
-			Lease: 4 * time.Second, MaxLease: 6 * time.Second, MaxOrderDelay: 12 * time.Second, ClockRateBound: 0.02,
+			Lease: 4 * time.Second, MaxLease: 6 * time.Second, MaxOrderDelay: 12 * time.Second, MaxDeliveryDelay: 12 * time.Second, ClockRateBound: 0.02,
 			PollWait: time.Second, OrderTimeout: time.Second, SilenceTimeout: silenceTimeout, PollRetryDelay: time.Second,
 		},
 	}, tbcodec.New(func(source []byte) (tbbundle.Bundle, error) { return tbbundlefile.Parse("bundle", source) }), d.persisted, g.now.Add(g.clockOffset))
--- a/core/tbcontrol/leader_load_fake_test.go
+++ b/core/tbcontrol/leader_load_fake_test.go
@@ -197,7 +197,7 @@
 			SnapshotEvery: 1 << 40, MaxInFlight: 2, MaxBatchCommands: 512, MaxBatchBytes: 512 << 10, MaxWaiting: 20_000, MaxApplied: 64,
 			Placement: tbplacement.DefaultConfig(), PlacementInterval: 50 * time.Millisecond, GrantInterval: 250 * time.Millisecond,
 			Fleet: tbfleet.Params{
-				Lease: 6 * time.Second, MaxLease: 6 * time.Second, MaxOrderDelay: 12 * time.Second, ClockRateBound: 0.02,
+				Lease: 6 * time.Second, MaxLease: 6 * time.Second, MaxOrderDelay: 12 * time.Second, MaxDeliveryDelay: 12 * time.Second, ClockRateBound: 0.02,
 				PollWait: loadPollWait, OrderTimeout: time.Second, SilenceTimeout: 3 * time.Second, PollRetryDelay: 250 * time.Millisecond,
 			},
 		}, tbcodec.New(func(source []byte) (tbbundle.Bundle, error) { return tbbundlefile.Parse("bundle", source) }),
@@ -535,12 +535,12 @@
 	w := s.byID[o.Target.ID]
 	p := &loadPoll{from: r, order: o, term: e.Term, sentAt: e.IssuedAt}
 	if s.now.Before(w.silentUntil) {
-		s.answerAfter(o.Timeout, r, tbcontrol.PollAnswered{Term: e.Term, Answer: tbfleet.PollAnswered{Worker: w.id, Incarnation: w.incarnation, SentAt: e.IssuedAt}})
+		s.answerAfter(o.Timeout, r, tbcontrol.PollAnswered{Term: e.Term, Answer: tbfleet.PollAnswered{Worker: w.id, Incarnation: w.incarnation, SentAt: e.IssuedAt, LeaseEndMs: o.LeaseEndMs}})
 		return
 	}
 	if o.Target.Token < w.token {
 		s.answerAfter(s.workerDelay, r, tbcontrol.PollAnswered{Term: e.Term, Answer: tbfleet.PollAnswered{
-			Worker: w.id, Incarnation: w.incarnation, SentAt: e.IssuedAt, Outcome: tbfleet.Refused,
+			Worker: w.id, Incarnation: w.incarnation, SentAt: e.IssuedAt, LeaseEndMs: o.LeaseEndMs, Outcome: tbfleet.Refused,
 		}})
 		return
 	}
@@ -566,11 +566,11 @@
 
 func (s *loadSimulation) answerPoll(w *loadWorker, p *loadPoll) {
 	a := tbfleet.PollAnswered{
-		Worker: w.id, Incarnation: w.incarnation, ActualIncarnation: w.incarnation, SentAt: p.sentAt, LastRecordedEnd: p.order.LastRecordedEnd,
+		Worker: w.id, Incarnation: w.incarnation, ActualIncarnation: w.incarnation, SentAt: p.sentAt, LastRecordedEnd: p.order.LastRecordedEnd, LeaseEndMs: p.order.LeaseEndMs,
 		Outcome: tbfleet.Accepted, ClockMs: s.clockMs(), Ended: append([]tbfleet.ListedEnd(nil), w.ended...),
 	}
 	if s.now.Before(w.silentUntil) {
-		s.answerAfter(p.order.Timeout, p.from, tbcontrol.PollAnswered{Term: p.term, Answer: tbfleet.PollAnswered{Worker: w.id, Incarnation: w.incarnation, SentAt: p.sentAt}})
+		s.answerAfter(p.order.Timeout, p.from, tbcontrol.PollAnswered{Term: p.term, Answer: tbfleet.PollAnswered{Worker: w.id, Incarnation: w.incarnation, SentAt: p.sentAt, LeaseEndMs: p.order.LeaseEndMs}})
 		return
 	}
 	for ref, run := range w.running {
--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -40,7 +40,11 @@
 	bestEffortStarts   []*Run
 	bestEffortUnderWay int
 	outstanding        outstandingStarts
-	output             Output
+	// renewals holds, for each worker ID, what is known of the orders that renew its lease.
+	renewals map[string]*renewals
+	// silences holds the silences of workers, by ID.
+	silences map[string]*silence
+	output   Output
 }
 
 // Worker is the leader's view of one incarnation of a worker.
@@ -88,9 +92,8 @@
 	needsFence bool
 	// lastClockReading is the newest reading of the worker's clock.
 	lastClockReading clockReading
-	// leaseRenewalSentAt is when this leader last sent an order that renews the lease, to this
-	// incarnation or an earlier one.
-	leaseRenewalSentAt time.Time
+	// renewalAnsweredFrom is when the last answered poll that renews the lease was issued.
+	renewalAnsweredFrom time.Time
 	// leaseEndMs is the lease expiry that was ordered last, on the worker's clock.
 	leaseEndMs int64
 	// leaseExpiresAt is the time on the leader's clock at which all leases granted by any leader
@@ -146,17 +149,30 @@
 // New returns a fleet for the leader of a term. The term must be higher than that of any earlier
 // leader, because it is the high part of the fencing tokens.
 func New(params Params, term uint64) *Fleet {
-	return &Fleet{params: params, term: term, workers: map[string]*Worker{}, workersByAddress: map[string][]*Worker{}, removedAt: map[string]time.Time{}, firstFailedOn: map[string]string{}, crashesByAddress: map[string]machineCrashes{}, pollPermits: map[incarnationKey]bool{}, outstanding: newOutstandingStarts()}
+	return &Fleet{params: params, term: term, workers: map[string]*Worker{}, workersByAddress: map[string][]*Worker{}, removedAt: map[string]time.Time{}, firstFailedOn: map[string]string{}, crashesByAddress: map[string]machineCrashes{}, pollPermits: map[incarnationKey]bool{}, outstanding: newOutstandingStarts(), renewals: map[string]*renewals{}, silences: map[string]*silence{}}
 }
 
 // TakeOver loads the recorded workers and the runs that the state assigns to workers.
 //
 // A run that no worker has listed may still be in flight as a start, and a later incarnation may
 // execute that start. The earlier leader may have sent orders that renew the lease until now. The
-// waits for such a run, and for an outstanding start, therefore begin now, not at the start.
-func (f *Fleet) TakeOver(now time.Time, s *tbflow.State) {
+// waits for such a run therefore begin now, not at the start. An outstanding start was sent before
+// this replica applied its record, and its longest delay is counted from then.
+func (f *Fleet) TakeOver(now time.Time, s *tbflow.State, applied *OutstandingTimes) {
+	for id := range s.Silent {
+		f.silences[id] = &silence{}
+	}
 	for ref := range s.Outstanding {
 		f.updateOutstanding(now, s, ref)
+		for _, o := range f.outstanding.byTask[ref] {
+			o.startUntil = applied.issuedBefore(now, o).Add(f.params.MaxOrderDelay)
+		}
+	}
+	for id := range f.outstanding.byWorker {
+		f.assumeRenewals(applied.renewedBefore(now, id), id)
+		if s.Workers[id] == nil {
+			f.removedAt[id] = now
+		}
 	}
 	for id, r := range s.Workers {
 		w := f.ensureWorker(id)
@@ -165,7 +181,7 @@
 		}
 		w.Incarnation, w.lastRecordedEnd, w.lastProposedEnd, w.Draining = r.Incarnation, r.LastRecordedEnd, r.LastRecordedEnd, r.Draining
 		if r.SignedOff || r.Draining {
-			w.leaseExpiresAt = now.Add(f.maxLeaseDuration(f.params.MaxLease))
+			w.leaseExpiresAt = applied.renewedBefore(now, id).Add(f.maxLeaseDuration(f.params.MaxLease))
 		}
 		if r.SignedOff {
 			w.signedOff, w.LastHeardAt = true, now
@@ -182,11 +198,12 @@
 	}
 	for _, id := range s.BusyWorkers() {
 		w := f.ensureWorker(id)
-		w.leaseExpiresAt = now.Add(f.maxLeaseDuration(f.params.MaxLease))
-		w.leaseRenewalSentAt = now
+		renewedBefore := applied.renewedBefore(now, id)
+		f.assumeRenewals(renewedBefore, id)
+		w.leaseExpiresAt = renewedBefore.Add(f.maxLeaseDuration(f.params.MaxLease))
 		earlierRuns := map[int64][]tbflow.CrashedRun{}
 		s.EachRun(id, func(ref tbflow.TaskRef, t *tbflow.Task) {
-			run := &Run{Number: t.Run, Checkpoint: t.Checkpoint, Speed: FullSpeed, startSentAt: now, listed: s.IsListed(ref, t.Run)}
+			run := &Run{Number: t.Run, Checkpoint: t.Checkpoint, Speed: FullSpeed, startSentAt: now, startUntil: renewedBefore.Add(f.params.MaxOrderDelay), listed: s.IsListed(ref, t.Run)}
 			if step := s.StepOf(ref); step != nil {
 				run.SpeedUnknown, run.longRunning, run.speculative = step.BestEffort, step.LongRunning, step.Speculative
 			}
@@ -313,8 +330,12 @@
 	}
 	f.removeOldCrashes(now)
 	for id, at := range f.removedAt {
-		if now.Sub(at) > f.params.MaxOrderDelay {
-			delete(f.removedAt, id)
+		if now.Sub(at) <= f.params.MaxOrderDelay+f.maxLeaseDuration(f.params.MaxLease) {
+			continue
+		}
+		delete(f.removedAt, id)
+		if f.workers[id] == nil {
+			delete(f.renewals, id)
 		}
 	}
 }
@@ -326,7 +347,7 @@
 
 // Usable reports whether the worker may get a new task now.
 func (f *Fleet) Usable(w *Worker, now time.Time) bool {
-	return w.registered && !w.Draining && !w.Unresponsive && !w.needsFence && w.lapse != lapsing && w.lastClockReading.isKnown() &&
+	return w.registered && !w.Draining && !w.Unresponsive && !f.isSilent(w.ID) && !w.needsFence && w.lapse != lapsing && w.lastClockReading.isKnown() &&
 		w.unackedEndCount < maxUnackedEnds && now.Sub(w.LastHeardAt) < f.params.SilenceTimeout && !now.Before(w.AvoidUntil) &&
 		!now.Before(w.ObservedUntil) && !f.hasOverdueStart(w, now)
 }
--- a/core/tbfleet/gone_test.go
+++ b/core/tbfleet/gone_test.go
@@ -134,3 +134,87 @@
 		qt.Check(t, fx.now.Sub(sentAt) >= maxOrderDelay+params.MaxLease, qt.IsTrue)
 	}
 }
+
+// runUntil advances the time with a reachable worker until apply has applied a command.
+func (fx *boundFixture) runUntil(t *testing.T, apply func(tbflow.Command) bool) {
+	t.Helper()
+	for end := fx.now.Add(10 * time.Second); ; {
+		qt.Assert(t, fx.now.Before(end), qt.IsTrue)
+		fx.now = fx.now.Add(tick)
+		fx.worker.advance(fx.now)
+		fx.fleet.Tick(fx.now)
+		commands := fx.answerOrders(true)
+		for _, c := range commands {
+			if apply(c) {
+				return
+			}
+			fx.apply(c)
+		}
+	}
+}
+
+// The record of an unanswered start was committed together with another end at its worker. The longest delay of the start
+// was then counted from the record.
+func TestUnansweredStartIsCountedFromItsSendingIfRecordedWithAnEnd(t *testing.T) {
+	fx := newBoundFixture()
+	sentAt := fx.now
+	fx.fleet.HandleStartAnswered(fx.now, tbfleet.StartAnswered{
+		Worker: "w", Incarnation: fx.start.Target.Incarnation, Ref: fx.ref, Run: 1, SentBefore: sentAt,
+	})
+	ends := tbflow.RecordEnds{Worker: "w", Incarnation: fx.worker.incarnation}
+	fx.runUntil(t, func(c tbflow.Command) bool {
+		unanswered, ok := c.(tbflow.RecordUnanswered)
+		if !ok {
+			return false
+		}
+		fx.state.Apply(fx.now.UnixMilli(), ends)
+		fx.state.Apply(fx.now.UnixMilli(), unanswered)
+		fx.fleet.HandleApplied(fx.now, fx.state, ends)
+		fx.fleet.HandleApplied(fx.now, fx.state, unanswered)
+		return true
+	})
+	qt.Assert(t, fx.state.IsBound(fx.ref), qt.IsTrue)
+	fx.run(sentAt.Add(maxDeliveryDelay+200*time.Millisecond).Sub(fx.now), true)
+	qt.Check(t, fx.state.IsBound(fx.ref), qt.IsFalse)
+}
+
+// A leader was suspended while a renewal of the lease was in flight. The tasks of the worker must wait until the renewal
+// cannot be executed any more, although its result was not known when the leader continued.
+func TestRenewalInFlightProlongsTheWaitOfASuspendedLeader(t *testing.T) {
+	fx := newBoundFixtureOf(true)
+	sentAt := fx.now
+	fx.runUntilWaiting(t)
+	fx.run(300*time.Millisecond, true)
+	fx.startAgain()
+	fx.run(sentAt.Add(maxDeliveryDelay-2*time.Second).Sub(fx.now), true)
+	var renewal tbfleet.Poll
+	for since := fx.now; renewal.LeaseEndMs == 0; fx.now = fx.now.Add(tick) {
+		qt.Assert(t, fx.now.Sub(since) < params.Lease/2, qt.IsTrue)
+		fx.fleet.Tick(fx.now)
+		for _, o := range fx.fleet.TakeOutput().Orders {
+			poll, ok := o.(tbfleet.Poll)
+			switch {
+			case ok && poll.LeaseEndMs > 0:
+				renewal = poll
+			case ok:
+				a := fx.worker.poll(fx.now, poll)
+				a.SentAt = fx.now
+				fx.fleet.HandlePollAnswered(fx.now, a)
+			}
+		}
+	}
+	renewedAt := fx.now
+	fx.worker.crash()
+
+	fx.now = sentAt.Add(maxOrderDelay + params.MaxLease + time.Second)
+	fx.run(tick, false)
+	qt.Assert(t, fx.state.IsBound(fx.ref), qt.IsTrue)
+	fx.fleet.HandlePollAnswered(fx.now, tbfleet.PollAnswered{
+		Worker: "w", Incarnation: fx.worker.incarnation, LeaseEndMs: renewal.LeaseEndMs, SentAt: renewedAt, SentBefore: renewedAt,
+	})
+	for fx.state.IsBound(fx.ref) {
+		qt.Assert(t, fx.now.Sub(renewedAt) < maxDeliveryDelay+maxReturnTime, qt.IsTrue)
+		fx.run(100*time.Millisecond, false)
+	}
+	qt.Check(t, fx.now.Sub(renewedAt) >= maxDeliveryDelay+params.MaxLease, qt.IsTrue)
+}
--- a/core/tbfleet/lost_workers.go
+++ b/core/tbfleet/lost_workers.go
@@ -116,6 +116,11 @@
 	var ends []tbflow.End
 	keptRuns := map[tbflow.TaskRef]*Run{}
 	for ref, run := range w.runs {
+		if run.isUnanswered {
+			// An end would settle the start, which the new incarnation may still execute.
+			keptRuns[ref] = run
+			continue
+		}
 		if run.mayBeAtLaterIncarnation() {
 			run.Phase, run.stopRequested, run.stopSentAt = RunUnconfirmed, false, time.Time{}
 			run.stopConfirmedAt = time.Time{}
@@ -133,6 +138,6 @@
 		f.output.LogEvents = append(f.output.LogEvents, LogEvent{Message: "worker restarted", Worker: w.ID, Detail: "its earlier runs have ended"})
 	}
 	*w = Worker{
-		Report: r, runs: keptRuns, LastHeardAt: now, serial: w.serial + 1, needsFence: true, leaseRenewalSentAt: w.leaseRenewalSentAt,
+		Report: r, runs: keptRuns, LastHeardAt: now, serial: w.serial + 1, needsFence: true,
 	}
 }
--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -61,11 +61,11 @@
 		// The assignment was committed twice, and its start is ordered.
 		return
 	}
-	run := &Run{Number: a.Run, Phase: RunOrdered, Checkpoint: t.Checkpoint, Speed: FullSpeed, startSentAt: now, longRunning: j.Steps[a.Ref.Step].LongRunning, speculative: j.Steps[a.Ref.Step].Speculative}
+	run := &Run{Number: a.Run, Phase: RunOrdered, Checkpoint: t.Checkpoint, Speed: FullSpeed, startSentAt: now, startUntil: now.Add(f.params.MaxOrderDelay), longRunning: j.Steps[a.Ref.Step].LongRunning, speculative: j.Steps[a.Ref.Step].Speculative}
 	w.runs[a.Ref] = run
-	if !w.registered || w.Incarnation != a.Incarnation || !w.lastClockReading.isKnown() || w.lapse == lapsing {
+	if !w.registered || w.Incarnation != a.Incarnation || !w.lastClockReading.isKnown() || w.lapse == lapsing || f.isSilent(w.ID) {
 		// No order is sent: either the intended incarnation no longer exists, or no lease can be
-		// granted because its clock is unknown or its lease has to end.
+		// granted because its clock is unknown, its lease has to end or it is silent.
 		f.proposeNeverRan(w, a.Incarnation, a.Ref, run)
 		return
 	}
@@ -117,18 +117,27 @@
 func (f *Fleet) HandleStartAnswered(now time.Time, a StartAnswered) {
 	f.noteReceived(now, a)
 	w := f.workers[a.Worker]
-	if w == nil {
-		return
+	var run *Run
+	if w != nil {
+		run = w.runs[a.Ref]
 	}
-	run := w.runs[a.Ref]
 	if run != nil && run.Number != a.Run {
 		run = nil
 	}
+	issuedAt := now
+	if run != nil {
+		issuedAt = run.startSentAt
+	}
+	f.noteRenewalResult(now, a.Worker, a.Outcome, issuedAt, a.SentBefore)
+	if w == nil {
+		return
+	}
 	f.trackAnswer(now, w, run, a)
 	if run == nil {
 		return
 	}
 	run.startReceived = run.startReceived || a.Outcome != Unconfirmed
+	run.startUntil = f.executableUntil(run.startSentAt, a.SentBefore)
 	if run.Phase == RunEnding {
 		return
 	}
@@ -302,6 +311,8 @@
 			f.updateOutstanding(now, s, r.Ref)
 		}
 		f.handleRecordedEnds(now, s, c.Worker, c.Incarnation)
+	case tbflow.RecordHeard:
+		delete(f.silences, c.Worker)
 	case tbflow.RecordSettled:
 		for _, settled := range c.Starts {
 			f.updateOutstanding(now, s, settled.Ref)
@@ -323,6 +334,10 @@
 			continue
 		}
 		if t := s.AssignedRun(id, ref); t == nil || t.Run != run.Number {
+			if run.isUnanswered {
+				// The start may have been recorded as outstanding by a later command of the same log entry.
+				f.updateOutstanding(now, s, ref)
+			}
 			delete(w.runs, ref)
 		}
 	}
--- a/core/tbfleet/outstanding_test.go
+++ b/core/tbfleet/outstanding_test.go
@@ -56,30 +56,7 @@
 		fx.now = fx.now.Add(tick)
 		fx.worker.advance(fx.now)
 		fx.fleet.Tick(fx.now)
-		out := fx.fleet.TakeOutput()
-		for _, poll := range fx.polls {
-			out.Orders = append(out.Orders, poll)
-		}
-		fx.polls = nil
-		for _, o := range out.Orders {
-			switch o := o.(type) {
-			case tbfleet.Stop:
-				a := tbfleet.StopAnswered{Worker: o.Target.ID, Incarnation: o.Target.Incarnation, Ref: o.Ref, Run: o.Run}
-				if reachable && o.Target.ID == "w" {
-					a = fx.worker.stopRun(fx.now, o)
-				}
-				fx.fleet.HandleStopAnswered(fx.now, a)
-			case tbfleet.Poll:
-				fx.pollCount++
-				a := tbfleet.PollAnswered{Worker: o.Target.ID, Incarnation: o.Target.Incarnation, LastRecordedEnd: o.LastRecordedEnd, SentAt: fx.now}
-				if reachable && o.Target.ID == "w" {
-					a = fx.worker.poll(fx.now, o)
-					a.SentAt = fx.now
-				}
-				fx.fleet.HandlePollAnswered(fx.now, a)
-			}
-		}
-		fx.applyBatch(out.Commands)
+		fx.applyBatch(fx.answerOrders(reachable))
 	}
 }
 
@@ -89,10 +66,40 @@
 		fx.state.Apply(fx.now.UnixMilli(), c)
 	}
 	for _, c := range commands {
+		fx.times.HandleApplied(fx.now, fx.state, c)
+		fx.times.RemoveExpired(fx.state)
 		fx.fleet.HandleApplied(fx.now, fx.state, c)
 	}
 }
 
+// answerOrders answers the leader's orders, except starts, and returns its commands.
+func (fx *boundFixture) answerOrders(reachable bool) []tbflow.Command {
+	out := fx.fleet.TakeOutput()
+	for _, poll := range fx.polls {
+		out.Orders = append(out.Orders, poll)
+	}
+	fx.polls = nil
+	for _, o := range out.Orders {
+		switch o := o.(type) {
+		case tbfleet.Stop:
+			a := tbfleet.StopAnswered{Worker: o.Target.ID, Incarnation: o.Target.Incarnation, Ref: o.Ref, Run: o.Run}
+			if reachable && o.Target.ID == "w" {
+				a = fx.worker.stopRun(fx.now, o)
+			}
+			fx.fleet.HandleStopAnswered(fx.now, a)
+		case tbfleet.Poll:
+			fx.pollCount++
+			a := tbfleet.PollAnswered{Worker: o.Target.ID, Incarnation: o.Target.Incarnation, LastRecordedEnd: o.LastRecordedEnd, LeaseEndMs: o.LeaseEndMs, SentAt: fx.now}
+			if reachable && o.Target.ID == "w" {
+				a = fx.worker.poll(fx.now, o)
+				a.SentAt = fx.now
+			}
+			fx.fleet.HandlePollAnswered(fx.now, a)
+		}
+	}
+	return out.Commands
+}
+
 // runUntilWaiting advances the time until the task is not assigned any more.
 func (fx *boundFixture) runUntilWaiting(t *testing.T) {
 	t.Helper()
@@ -287,3 +294,24 @@
 	qt.Check(t, first.ends[0].voided, qt.IsTrue)
 	qt.Check(t, fx.fleet.Usable(fx.fleet.Worker("w"), fx.now), qt.IsTrue)
 }
+
+// The longest delay of each unanswered start was counted from its order, with the longest time until an order is sent.
+func TestUnansweredStartIsSettledTheLongestDelayAfterItsSending(t *testing.T) {
+	for _, test := range []struct {
+		isKnown bool
+		delay   time.Duration
+	}{{true, maxDeliveryDelay}, {false, maxOrderDelay}} {
+		fx := newBoundFixture()
+		sentAt := fx.now
+		a := tbfleet.StartAnswered{Worker: "w", Incarnation: fx.start.Target.Incarnation, Ref: fx.ref, Run: 1}
+		if test.isKnown {
+			a.SentBefore = sentAt
+		}
+		fx.fleet.HandleStartAnswered(fx.now, a)
+		fx.runUntilWaiting(t)
+		fx.run(sentAt.Add(test.delay-tick).Sub(fx.now), true)
+		qt.Check(t, fx.state.IsBound(fx.ref), qt.IsTrue)
+		fx.run(200*time.Millisecond, true)
+		qt.Check(t, fx.state.IsBound(fx.ref), qt.IsFalse)
+	}
+}
--- a/core/tbfleet/replaced_test.go
+++ b/core/tbfleet/replaced_test.go
@@ -22,7 +22,7 @@
 	step := tbflow.Step{Count: 1, Need: tbresource.Amount{MilliProcessors: 100}, LongRunning: longRunning}
 	s.Apply(now.UnixMilli(), tbflow.Submit{Host: "h", Path: "/q/j", Job: tbflow.Job{ID: "j", Steps: []tbflow.Step{step}}})
 	f := tbfleet.New(tbfleet.Params{
-		Lease: 4 * time.Second, MaxLease: 6 * time.Second, MaxOrderDelay: 12 * time.Second, ClockRateBound: 0.02,
+		Lease: 4 * time.Second, MaxLease: 6 * time.Second, MaxOrderDelay: 12 * time.Second, MaxDeliveryDelay: 12 * time.Second, ClockRateBound: 0.02,
 		PollWait: time.Second, OrderTimeout: 400 * time.Millisecond, SilenceTimeout: 3 * time.Second, PollRetryDelay: time.Second,
 	}, 1)
 	f.HandleReport(now, newReport("old", now))
