--- a/core/tbfleet/gone_test.go
+++ b/core/tbfleet/gone_test.go
@@ -218,3 +218,21 @@
 	}
 	qt.Check(t, fx.now.Sub(renewedAt) >= maxDeliveryDelay+params.MaxLease, qt.IsTrue)
 }
+
+// An earlier leader may have renewed the lease of a worker until a takeover. A later incarnation that has executed an
+// outstanding start may execute such a renewal late.
+func TestNextLeaderAssumesRenewalsUntilItsTakeover(t *testing.T) {
+	fx := newBoundFixtureOf(true)
+	fx.runUntilWaiting(t)
+	fx.run(300*time.Millisecond, true)
+	fx.startAgain()
+	fx.run(8*time.Second, true)
+	fx.worker.crash()
+	fx.takeOver()
+	takenOverAt := fx.now
+	for fx.state.IsBound(fx.ref) {
+		qt.Assert(t, fx.now.Sub(takenOverAt) < maxOrderDelay+maxReturnTime, qt.IsTrue)
+		fx.run(100*time.Millisecond, false)
+	}
+	qt.Check(t, fx.now.Sub(takenOverAt) >= maxOrderDelay+params.MaxLease, qt.IsTrue)
+}
