Log what holds long-running tasks that wait for a worker

A long-running task could wait for 25 s with capacity elsewhere, and the logs did not tell why: no line is written while a task is not placed. Plans now count, for each long-running task that has waited for 2 s, the workers with room and what keeps the task from them, and the leader logs it every 2 s at most.

--- a/core/tbassign/bound.go
+++ b/core/tbassign/bound.go
@@ -69,6 +69,7 @@
 		p.countAssignedTasks(b.step)
 		r := p.boundWorker(b.ref, b.step)
 		if r == nil {
+			p.noteHeld(b.step, b.ref, b.step.job.Task(b.ref), "bound")
 			continue
 		}
 		p.allocate(r, b.step)
--- a/core/tbassign/learner.go
+++ b/core/tbassign/learner.go
@@ -44,7 +44,9 @@
 	loads         map[string]*classLoad
 	// shortOfRoom holds the queues whose useful work the last full plan has left waiting for room. It is used only with
 	// Features.FairShares.
-	shortOfRoom  map[tbflow.QueueKey]bool
+	shortOfRoom map[tbflow.QueueKey]bool
+	// heldNotedMs holds the times at which plans have noted what holds a long-running task (see noteHeld).
+	heldNotedMs  map[tbflow.TaskRef]int64
 	workerCounts workerCounts
 	workloads    workloadCache
 	lookAhead    lookAhead
@@ -58,6 +60,7 @@
 		runTimeRatios: map[tbflow.QueueKey]float64{}, runTimes: tbruntime.New(), workerSpeeds: tbruntime.NewSpeeds(), slopeFilters: map[string]*slopeFilter{},
 		lastSamples: map[string]pollSample{}, violatingSince: map[string]map[tbflow.TaskRef]time.Time{}, speedChangedWorkers: map[string]bool{}, shortDemands: map[string]shortDemand{}, largeDemands: map[string]shortDemand{},
 		shortArrivals: map[demandKey]*demandRate{}, loads: map[string]*classLoad{}, shortOfRoom: map[tbflow.QueueKey]bool{},
+		heldNotedMs: map[tbflow.TaskRef]int64{},
 	}
 }
 
--- a/core/tbassign/place.go
+++ b/core/tbassign/place.go
@@ -57,11 +57,13 @@
 		t := w.job.Task(ref)
 		r, isSuspect := p.placeSuspect(w, ref, t)
 		if isSuspect && r == nil {
+			p.noteHeld(w, ref, t, "suspected of crashes")
 			continue
 		}
 		if r == nil {
 			var reserved bool
 			if r, reserved = p.claimReservation(w, ref, t); reserved && r == nil {
+				p.noteHeld(w, ref, t, "its place is not free yet")
 				continue
 			}
 		}
@@ -74,6 +76,7 @@
 			}
 		}
 		if r == nil {
+			p.noteHeld(w, ref, t, "")
 			// The tasks of a step differ only in the worker that they avoid. If this task avoids
 			// none, the search for a worker would fail for the other tasks too.
 			if t.LastFailedOn == "" {
--- a/core/tbassign/plan.go
+++ b/core/tbassign/plan.go
@@ -34,6 +34,7 @@
 
 // placeAll adds the runs of the steps to the plan, up to its limits.
 func (p *planState) placeAll(plan *PlannedRuns, steps []*waitingStep, limit planLimit) {
+	defer func() { plan.Held = p.held }()
 	p.placeBound(plan, limit)
 	bestEffortRuns := 0
 	for _, step := range steps {
@@ -104,6 +105,8 @@
 	closedWorkers int
 	// candidates is reused for all steps to save allocations.
 	candidates candidates
+	// held says what holds long-running tasks that have waited for long.
+	held []HeldTask
 }
 
 // newPlanState returns the usable workers with their free capacity. This is enough to place short
--- a/core/tbassign/planner.go
+++ b/core/tbassign/planner.go
@@ -84,6 +84,8 @@
 	WaitingSteps int
 	// ReservedWorkers is the number of workers with room reserved for large tasks after the plan.
 	ReservedWorkers int
+	// Held says what holds long-running tasks that have waited for long.
+	Held []HeldTask
 	// reachedLimit is true if a limit has kept the plan from more runs.
 	reachedLimit bool
 }
--- a/core/tbcontrol/decision_log.go
+++ b/core/tbcontrol/decision_log.go
@@ -134,6 +134,15 @@
 	c.emit(Log{Message: "job turned away", Reason: string(a.Reason), Args: args})
 }
 
+// logHeldTask logs why a long-running task that has waited for long has no worker yet.
+func (c *Control) logHeldTask(h tbassign.HeldTask) {
+	c.emit(Log{Message: "lasting task waits", Detail: h.Cause, Args: []any{
+		"job", h.Ref.Job, "task", h.Ref.String(), "waitedMs", h.WaitedMs, "processors", h.Need.MilliProcessors, "memoryMB", h.Need.MemoryMB,
+		"usable", h.Usable, "room", h.Room, "closed", h.Closed, "kept", h.Kept, "unsuitable", h.Unsuitable, "avoided", h.Avoided,
+		"headroom", h.Headroom, "bestEffort", h.BestEffort, "unusable", h.Unusable,
+	}})
+}
+
 // lateStartThreshold is the wait from which an assignment is late. A late assignment is not logged as
 // routine.
 const lateStartThreshold = time.Second
--- a/core/tbcontrol/flow.go
+++ b/core/tbcontrol/flow.go
@@ -361,6 +361,9 @@
 	if plan.IsFull || plan.WaitingSteps > 0 {
 		c.emit(PlanMade{IsFull: plan.IsFull, Runs: len(plan.Runs), Limit: plan.Limit, WaitingSteps: plan.WaitingSteps, ReservedWorkers: plan.ReservedWorkers, UnderWay: underWay, AnswerTime: answerTime})
 	}
+	for _, h := range plan.Held {
+		c.logHeldTask(h)
+	}
 	if len(plan.Runs) > 0 {
 		l.assignInFlight = true
 		c.proposeFlowChange(tbflow.Assign{Assignments: plan.Runs})
