Test that long-running tasks do not wait for a late leader

A leader ten times slower than a free one, with far more best-effort work than it can handle, has to start stopped long-running tasks again within 6 s, also right after a takeover.

--- /dev/null
+++ b/core/tbcontrol/late_leader_test.go
@@ -0,0 +1,61 @@
+package tbcontrol_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A long-running task has to run again within maxRestartWait of its last run.
+const maxRestartWait = 6 * time.Second
+
+// newLateLeader returns a simulation in which long-running tasks reserve three quarters of the processors and the leader
+// is too slow for the load.
+func newLateLeader(t *testing.T) *loadSimulation {
+	const workers = 550
+	s := newLoadSimulation(t, 1, workers, busySlowdown)
+	s.workerDelay = busyWorkerDelay
+	s.startLongRunning(workers * 25 / 100)
+	s.slowdown = 10
+	return s
+}
+
+// overload submits several times the work that the leader can handle, while workers drain.
+func (s *loadSimulation) overload(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.drain(len(s.workers) / 100)
+		s.submitLoad(jobRates{short: 10, fill: 25}, time.Second)
+	}
+}
+
+// checkRestarts checks the times between two runs of long-running tasks.
+func (s *loadSimulation) checkRestarts(t *testing.T, minRestarts int) {
+	t.Helper()
+	for ref, endedAt := range s.stoppedTasks {
+		if wait := s.now.Sub(endedAt); wait > maxRestartWait {
+			t.Errorf("%s does not run again after %s", ref, wait)
+		}
+	}
+	qt.Assert(t, len(s.restartWaits) >= minRestarts, qt.IsTrue, qt.Commentf("only %d tasks run again", len(s.restartWaits)))
+	slices.Sort(s.restartWaits)
+	n := len(s.restartWaits)
+	t.Logf("%d tasks run again, half after %s, the last one after %s", n, s.restartWaits[n/2], s.restartWaits[n-1])
+	qt.Check(t, s.restartWaits[n-1] < maxRestartWait, qt.IsTrue)
+}
+
+func TestLongRunningTasksDoNotWaitForALateLeader(t *testing.T) {
+	s := newLateLeader(t)
+	s.overload(8 * time.Second)
+	qt.Check(t, s.fillWait() > time.Second, qt.IsTrue, qt.Commentf("the leader is not late: best-effort tasks wait for %s", s.fillWait()))
+	s.checkRestarts(t, 50)
+}
+
+func TestLongRunningTasksDoNotWaitForALateNewLeader(t *testing.T) {
+	s := newLateLeader(t)
+	s.overload(3 * time.Second)
+	s.leader().stopped = true
+	s.overload(8 * time.Second)
+	s.checkRestarts(t, 50)
+}
--- a/core/tbcontrol/leader_load_fake_test.go
+++ b/core/tbcontrol/leader_load_fake_test.go
@@ -50,6 +50,10 @@
 	fillWaits []time.Duration
 	// assignedRuns holds the descriptions of the best-effort runs that were assigned, up to the worker.
 	assignedRuns map[string]bool
+	// restartWaits holds the times between two runs of long-running tasks. stoppedTasks holds the ends of the tasks
+	// that do not run again yet.
+	restartWaits []time.Duration
+	stoppedTasks map[tbflow.TaskRef]time.Time
 	// observe executes the events of the replicas, if it is set.
 	observe loadObserver
 }
@@ -130,6 +134,7 @@
 	incarnation int64
 	sequence    uint64
 	silentUntil time.Time
+	draining    bool
 	running     map[tbflow.TaskRef]loadRun
 	ended       []tbfleet.ListedEnd
 	ackedEnds   uint64
@@ -180,8 +185,8 @@
 
 func newLoadSimulation(t testing.TB, seed uint64, workers int, slowdown float64) *loadSimulation {
 	s := &loadSimulation{
-		assignedRuns: map[string]bool{},
-		t:            t, rng: rand.New(rand.NewPCG(seed, 40)), now: time.UnixMilli(1_700_000_000_000), byID: map[string]*loadWorker{}, slowdown: slowdown, workerDelay: 4 * time.Millisecond,
+		assignedRuns: map[string]bool{}, stoppedTasks: map[tbflow.TaskRef]time.Time{},
+		t: t, rng: rand.New(rand.NewPCG(seed, 40)), now: time.UnixMilli(1_700_000_000_000), byID: map[string]*loadWorker{}, slowdown: slowdown, workerDelay: 4 * time.Millisecond,
 		runTimes: map[string]time.Duration{shortQueue: 540 * time.Millisecond, fillQueue: 2300 * time.Millisecond},
 	}
 	var members []tbconsensus.Member
@@ -246,7 +251,7 @@
 		}
 		w.sequence++
 		reports = append(reports, tbfleet.Report{
-			ID: w.id, Address: w.id, Incarnation: w.incarnation, Class: "c", ClockMs: s.clockMs(), Sequence: w.sequence, Capacity: loadWorkerCapacity,
+			ID: w.id, Address: w.id, Incarnation: w.incarnation, Class: "c", ClockMs: s.clockMs(), Sequence: w.sequence, Capacity: loadWorkerCapacity, Draining: w.draining,
 		})
 	}
 	s.request(tbcontrol.WorkersReported{Reports: reports})
@@ -517,12 +522,19 @@
 		s.at(run.endsAt, func() { s.end(w, o.Ref, o.Run, tbflow.EndDone) })
 	}
 	w.running[o.Ref] = run
+	if endedAt, ok := s.stoppedTasks[o.Ref]; ok {
+		s.restartWaits = append(s.restartWaits, s.now.Sub(endedAt))
+		delete(s.stoppedTasks, o.Ref)
+	}
 }
 
 func (s *loadSimulation) end(w *loadWorker, ref tbflow.TaskRef, run uint64, kind tbflow.EndKind) {
 	if w.running[ref].number != run {
 		return
 	}
+	if w.running[ref].endsAt.IsZero() {
+		s.stoppedTasks[ref] = s.now
+	}
 	delete(w.running, ref)
 	w.ended = append(w.ended, tbfleet.ListedEnd{Number: w.ackedEnds + uint64(len(w.ended)) + 1, Ref: ref, Run: run, Kind: kind})
 	if p := w.poll; p != nil {
@@ -664,6 +676,13 @@
 	}
 }
 
+// drain lets workers that are chosen at random drain. Their next reports say so.
+func (s *loadSimulation) drain(count int) {
+	for _, i := range s.rng.Perm(len(s.workers))[:count] {
+		s.workers[i].draining = true
+	}
+}
+
 // onTimeShare returns the share of the jobs of a queue, submitted between two times, that ended within their
 // objective.
 func (s *loadSimulation) onTimeShare(queue string, from, to time.Time) (share float64, jobs int) {
