Show that a late leader leaves long-running tasks on draining workers

Callers would see a long-running task stand still for 7 s although its worker had announced its end 2 s before and other workers had room. The test plays a leader that is 6 and 10 times too slow while workers drain.

--- a/core/tbcontrol/late_leader_test.go
+++ b/core/tbcontrol/late_leader_test.go
@@ -59,3 +59,18 @@
 	s.overload(8 * time.Second)
 	s.checkRestarts(t, 50)
 }
+
+// Workers announce their end 2 s before it. A leader that stops their tasks in time need not wait for the end of their
+// leases.
+func TestLongRunningTasksLeaveDrainingWorkersInTimeWithALateLeader(t *testing.T) {
+	for _, slowdown := range []float64{6, 10} {
+		s := newLateLeader(t)
+		s.slowdown = slowdown
+		for range 10 {
+			s.leave(len(s.workers)/110, 2*time.Second)
+			s.submitLoad(jobRates{short: 7, fill: 20}, time.Second)
+		}
+		s.submitLoad(jobRates{short: 7, fill: 20}, 10*time.Second)
+		s.checkRestarts(t, 200)
+	}
+}
--- a/core/tbcontrol/leader_load_fake_test.go
+++ b/core/tbcontrol/leader_load_fake_test.go
@@ -683,6 +683,26 @@
 	}
 }
 
+// leave lets workers that are chosen at random drain, and be gone after notice.
+func (s *loadSimulation) leave(count int, notice time.Duration) {
+	for _, i := range s.rng.Perm(len(s.workers))[:count] {
+		w := s.workers[i]
+		if w.draining {
+			continue
+		}
+		w.draining = true
+		s.at(s.now.Add(notice), func() {
+			for ref, run := range w.running {
+				if run.endsAt.IsZero() {
+					s.stoppedTasks[ref] = s.now
+				}
+			}
+			clear(w.running)
+			w.silentUntil = s.now.Add(time.Hour)
+		})
+	}
+}
+
 // onTimeShare returns the share of the jobs of a queue, submitted between two times, that ended within their
 // objective.
 func (s *loadSimulation) onTimeShare(queue string, from, to time.Time) (share float64, jobs int) {
