Tick the event loop while events are always queued

Callers could see long-running tasks stand still for 7 s beside free workers: a leader that always had events queued stopped no runs on draining workers, gave up no leases, repeated no orders and sent no heartbeats of its own until its queue was empty.

Cause: the loop ticked only when its timer fired, and each pass set the timer anew, for at least a millisecond. With the next event already queued, the timer never fired. The same held for the deadlines and queues of an entry.

Change: tbnode.TickSchedule keeps the time of the next tick. The loop asks it after the events of each pass, and events bring the next tick forward but never put it off. The simulated processors of the leader tests follow the same schedule.

Result: TestLoopTicksWhileEventsAreAlwaysQueued: no tick before, 2 or more now.

--- a/core/tbcontrol/leader_load_fake_test.go
+++ b/core/tbcontrol/leader_load_fake_test.go
@@ -17,6 +17,7 @@
 	"tamarackbarrow/core/tbcontrol"
 	"tamarackbarrow/core/tbfleet"
 	"tamarackbarrow/core/tbflow"
+	"tamarackbarrow/core/tbnode"
 	"tamarackbarrow/core/tbplacement"
 	"tamarackbarrow/core/tbresource"
 	"tamarackbarrow/io/tbbundlefile"
@@ -116,6 +117,9 @@
 	freeAt     time.Time
 	inPass     bool
 	passEvents int
+	// ticks says when the replica is ticked, and ticked is true once it was in this pass.
+	ticks  tbnode.TickSchedule
+	ticked bool
 	// unsaved holds the saves that wait for the disk, which is busy while a sync is in progress.
 	unsaved []tbcontrol.Save
 	syncing bool
@@ -311,8 +315,7 @@
 	if r.inPass || len(r.inbox) > 0 {
 		return latest(r.freeAt, s.now)
 	}
-	// A timer of the event loop waits for at least a millisecond.
-	return latest(r.freeAt.Add(time.Millisecond), r.control.NextDue())
+	return latest(r.freeAt, r.ticks.Due())
 }
 
 // maxPassEvents is the largest number of events in one pass of the event loop.
@@ -327,11 +330,11 @@
 		r.load.AgeSum += s.now.Sub(r.inbox[0].at)
 		ev, r.inbox, r.inPass = r.inbox[0].event, r.inbox[1:], true
 		r.passEvents++
-	case r.inPass:
+	case !r.ticked && (!r.inPass || r.ticks.IsDue(s.now)):
+		ev, r.inPass, r.ticked = tbcontrol.Tick{}, true, true
+	default:
 		ev, r.inPass, r.passEvents = tbcontrol.EventBatchEnded{Load: r.load}, false, 0
 		r.load = tbassign.Load{}
-	default:
-		ev, r.inPass = tbcontrol.Tick{}, true
 	}
 	appliedBefore := r.control.State().Applied
 	var effects []tbcontrol.Effect
@@ -342,6 +345,10 @@
 	}
 	cost := s.costOf(r, ev, effects, r.control.State().Applied-appliedBefore)
 	r.freeAt = s.now.Add(cost)
+	if !r.inPass {
+		r.ticks.EndPass(r.freeAt, r.control.NextDue(), r.ticked)
+		r.ticked = false
+	}
 	for _, e := range effects {
 		if plan, ok := e.(tbcontrol.PlanMade); ok && plan.IsFull {
 			r.load.PlanTime = cost
--- a/io/tbdaemon/daemon.go
+++ b/io/tbdaemon/daemon.go
@@ -30,7 +30,6 @@
 // transferLeadership checks every leaderPollInterval whether this replica still leads.
 const (
 	leaderPollInterval = 5 * time.Millisecond
-	minTimerDelay      = time.Millisecond
 	eventQueueSize     = 16384
 	maxQueuedPerPass   = 512
 )
@@ -369,21 +368,30 @@
 func (d *Daemon) loop() {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	var ticks tbnode.TickSchedule
 	for {
+		isDue := false
 		select {
 		case <-d.ctx.Done():
 			return
 		case queued := <-d.events:
 			d.handle(queued)
 			d.handleQueued()
+			isDue = ticks.IsDue(d.clock.Now())
 		case <-timer.C:
+			isDue = true
+		}
+		if isDue {
 			d.accountFor(kindTick, func() []tbnode.Effect { return d.node.Tick(d.clock.Now()) })
 		}
 		now := d.clock.Now()
 		d.accountFor(kindPassEnd, func() []tbnode.Effect { return d.node.EndEventBatch(now, d.account.takeLoad()) })
 		d.publishState(now)
 		d.logAccount(time.Now())
-		timer.Reset(max(minTimerDelay, d.node.NextDue(now).Sub(now)))
+		next := d.node.NextDue(now)
+		now = d.clock.Now()
+		ticks.EndPass(now, next, isDue)
+		timer.Reset(ticks.Due().Sub(now))
 	}
 }
 
--- a/io/tbdaemon/event_test.go
+++ b/io/tbdaemon/event_test.go
@@ -31,3 +31,35 @@
 	// The histogram keeps two significant digits, so a recorded wait may be slightly too small.
 	qt.Check(t, waits.Min() >= wait.Microseconds()*99/100, qt.IsTrue, qt.Commentf("%d us", waits.Min()))
 }
+
+// A leader that gets events without a pause has to stop runs, give up leases and send heartbeats all the same.
+func TestLoopTicksWhileEventsAreAlwaysQueued(t *testing.T) {
+	settings := tbsettings.Settings{
+		ID: "a", PeerAddress: "127.0.0.1:1", CallerAddress: "127.0.0.1:2", Entry: true,
+		Times: tbsettings.Times{ElectionTimeout: time.Second, Heartbeat: 100 * time.Millisecond},
+	}
+	d, err := New(settings, hclog.NewNullLogger(), hclog.NewNullLogger(), hclog.NewNullLogger())
+	qt.Assert(t, err, qt.IsNil)
+	batch := make([]tbnode.Event, maxQueuedPerPass)
+	const batches = 1000
+	for range batches {
+		d.queueEvents(batch)
+	}
+	d.account = newLoopAccount(time.Now())
+	looped := make(chan struct{})
+	go func() {
+		defer close(looped)
+		d.loop()
+	}()
+	// The batches leave the queue one after the other. The loop ends while there are others.
+	for len(d.events) > batches/2 {
+		time.Sleep(time.Millisecond)
+	}
+	d.cancel()
+	<-looped
+	qt.Assert(t, len(d.events) > 0, qt.IsTrue)
+	ticks := d.account.byKind[kindTick]
+	qt.Assert(t, ticks, qt.IsNotNil)
+	t.Logf("%d ticks", ticks.events)
+	qt.Check(t, ticks.events >= 2, qt.IsTrue)
+}
