Show that a late leader loses its leadership

A leader whose events wait for longer than an election timeout steps down, because the answers of its followers wait in the same queue (quorumSilent). Each new leader polls all workers, is as late, and counts the leases of workers that are gone from its own takeover.

--- a/core/tbcontrol/late_leader_test.go
+++ b/core/tbcontrol/late_leader_test.go
@@ -74,3 +74,25 @@
 		s.checkRestarts(t, 200)
 	}
 }
+
+// A leader that is late hears its followers in time all the same. Each new leader would have to poll all workers and
+// count their leases anew, and would be as late.
+func TestLateLeaderKeepsItsLeadership(t *testing.T) {
+	for _, test := range []struct {
+		workers  int
+		slowdown float64
+	}{{1000, 10}, {1800, 6}} {
+		s := newLoadSimulation(t, 1, test.workers, busySlowdown)
+		s.workerDelay = busyWorkerDelay
+		s.startLongRunning(test.workers * 22 / 100)
+		leader := s.leader()
+		term := leader.control.Replica().Term()
+		s.slowdown = test.slowdown
+		share := float64(test.workers) / 550
+		s.submitLoad(jobRates{short: 7 * share, fill: 20 * share}, 15*time.Second)
+		for _, r := range s.replicas {
+			qt.Check(t, r.control.Replica().Term(), qt.Equals, term, qt.Commentf("replica %d, %d workers", r.id, test.workers))
+		}
+		qt.Check(t, leader.control.IsConfirmedLeader(s.now), qt.IsTrue, qt.Commentf("%d workers", test.workers))
+	}
+}
