Handle messages between replicas before other events

Callers would have seen an overloaded group elect one leader after the other, each of which polls all workers, is late at once and counts the leases of workers that are gone from its own takeover.

Cause: the answers of followers and of the disk waited in one queue with polls and requests. Once events waited for longer than an election timeout, the leader took its group for silent and stepped down (quorumSilent), and a pass of 512 events could take as long.

Change: events for which tbcontrol.GoesFirst holds have a queue of their own, which is emptied first, and a pass ends once a tick is due. The simulated processors follow both.

--- a/core/tbcontrol/leader_load_fake_test.go
+++ b/core/tbcontrol/leader_load_fake_test.go
@@ -111,7 +111,9 @@
 	id      tbconsensus.ReplicaID
 	control *tbcontrol.Control
 	stopped bool
-	inbox   []queuedLoadEvent
+	// firstInbox holds the events that are handled before those of inbox.
+	firstInbox []queuedLoadEvent
+	inbox      []queuedLoadEvent
 	// freeAt is when the processor has handled its current event. inPass is true between the first event of a
 	// pass of the event loop and the end of the pass, and passEvents counts the events of the pass.
 	freeAt     time.Time
@@ -284,6 +286,10 @@
 }
 
 func (s *loadSimulation) deliver(r *loadReplica, ev tbcontrol.Event) {
+	if tbcontrol.GoesFirst(ev) {
+		r.firstInbox = append(r.firstInbox, queuedLoadEvent{event: ev, at: s.now})
+		return
+	}
 	r.inbox = append(r.inbox, queuedLoadEvent{event: ev, at: s.now})
 }
 
@@ -312,7 +318,7 @@
 
 // nextStepAt returns when the processor of a replica handles its next event.
 func (s *loadSimulation) nextStepAt(r *loadReplica) time.Time {
-	if r.inPass || len(r.inbox) > 0 {
+	if r.inPass || len(r.firstInbox)+len(r.inbox) > 0 {
 		return latest(r.freeAt, s.now)
 	}
 	return latest(r.freeAt, r.ticks.Due())
@@ -325,10 +331,14 @@
 func (s *loadSimulation) stepReplica(r *loadReplica) {
 	var ev tbcontrol.Event
 	switch {
-	case len(r.inbox) > 0 && r.passEvents < maxPassEvents:
+	case len(r.firstInbox)+len(r.inbox) > 0 && r.passEvents < maxPassEvents && !r.ticked && (!r.inPass || !r.ticks.IsDue(s.now)):
+		inbox := &r.inbox
+		if len(r.firstInbox) > 0 {
+			inbox = &r.firstInbox
+		}
 		r.load.Events++
-		r.load.AgeSum += s.now.Sub(r.inbox[0].at)
-		ev, r.inbox, r.inPass = r.inbox[0].event, r.inbox[1:], true
+		r.load.AgeSum += s.now.Sub((*inbox)[0].at)
+		ev, *inbox, r.inPass = (*inbox)[0].event, (*inbox)[1:], true
 		r.passEvents++
 	case !r.ticked && (!r.inPass || r.ticks.IsDue(s.now)):
 		ev, r.inPass, r.ticked = tbcontrol.Tick{}, true, true
--- a/core/tbcontrol/types.go
+++ b/core/tbcontrol/types.go
@@ -81,6 +81,16 @@
 // Event is an input of Control.Step.
 type Event interface{ isEvent() }
 
+// GoesFirst reports whether an event has to be handled before other queued events. These are the events from which a
+// replica knows that its group still agrees with it: a leader that is late with other events would otherwise step down.
+func GoesFirst(ev Event) bool {
+	switch ev.(type) {
+	case MessagesArrived, EntriesPersisted, DeliveryFailed:
+		return true
+	}
+	return false
+}
+
 // MessagesArrived carries messages of other replicas.
 type MessagesArrived struct{ Messages []tbconsensus.Message }
 
--- a/io/tbdaemon/daemon.go
+++ b/io/tbdaemon/daemon.go
@@ -45,6 +45,10 @@
 	node       *tbnode.Node
 	codec      *tbcodec.Codec
 	events     chan queuedEvents
+	// firstEvents holds the events that are handled before those in events (see tbcontrol.GoesFirst).
+	firstEvents chan queuedEvents
+	// ticks says when the loop ticks the node.
+	ticks tbnode.TickSchedule
 	// replies maps the request id of each event that waits for a reply to the channel for that reply.
 	replies           sync.Map
 	nextRequestID     atomic.Uint64
@@ -109,7 +113,7 @@
 	httpClient := tbrunnerclient.NewHTTPClient()
 	d := &Daemon{
 		settings: settings, log: log, runLog: runs, routineLog: routine,
-		codec: tbcodec.New(parseBundle), events: make(chan queuedEvents, eventQueueSize),
+		codec: tbcodec.New(parseBundle), events: make(chan queuedEvents, eventQueueSize), firstEvents: make(chan queuedEvents, eventQueueSize),
 		peers: tbpeer.New(settings.SourceIP, traffic), runners: tbrunnerclient.New(httpClient), backendHTTPClient: httpClient,
 		outboxes: map[string]*outbox{}, counters: newCounters(traffic), traffic: traffic,
 		entryStopped: make(chan struct{}), ctx: ctx, cancel: cancel,
@@ -137,6 +141,7 @@
 		entry = tbentry.New(entryConfig(settings, uint64(now.UnixNano())), now)
 	}
 	d.node = tbnode.New(entry, control)
+	d.ticks.EndPass(now, d.node.NextDue(now), true)
 	return d, nil
 }
 
@@ -352,13 +357,17 @@
 // cancelled, events may be dropped.
 func (d *Daemon) queueEvent(ev tbnode.Event) { d.queueEvents([]tbnode.Event{ev}) }
 
-// queueEvents is queueEvent for events that arrived together.
+// queueEvents is queueEvent for events that arrived together. All of them are queued like the first one.
 func (d *Daemon) queueEvents(events []tbnode.Event) {
 	if len(events) == 0 {
 		return
 	}
+	queue := d.events
+	if tbcontrol.GoesFirst(events[0].Control) {
+		queue = d.firstEvents
+	}
 	select {
-	case d.events <- queuedEvents{events, time.Now()}:
+	case queue <- queuedEvents{events, time.Now()}:
 	case <-d.ctx.Done():
 	}
 }
@@ -368,16 +377,19 @@
 func (d *Daemon) loop() {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	var ticks tbnode.TickSchedule
 	for {
 		isDue := false
 		select {
 		case <-d.ctx.Done():
 			return
+		case queued := <-d.firstEvents:
+			d.handle(queued)
+			d.handleQueued()
+			isDue = d.ticks.IsDue(d.clock.Now())
 		case queued := <-d.events:
 			d.handle(queued)
 			d.handleQueued()
-			isDue = ticks.IsDue(d.clock.Now())
+			isDue = d.ticks.IsDue(d.clock.Now())
 		case <-timer.C:
 			isDue = true
 		}
@@ -390,8 +402,8 @@
 		d.logAccount(time.Now())
 		next := d.node.NextDue(now)
 		now = d.clock.Now()
-		ticks.EndPass(now, next, isDue)
-		timer.Reset(ticks.Due().Sub(now))
+		d.ticks.EndPass(now, next, isDue)
+		timer.Reset(d.ticks.Due().Sub(now))
 	}
 }
 
@@ -418,20 +430,37 @@
 	}
 }
 
-// handleQueued handles about maxQueuedPerPass events that are already queued, so that these events
-// share proposals and disk syncs.
+// handleQueued handles events that are already queued, so that these events share proposals and disk syncs. It stops
+// after about maxQueuedPerPass events, or once a tick is due.
 func (d *Daemon) handleQueued() {
 	for n := 0; n < maxQueuedPerPass; {
-		select {
-		case queued := <-d.events:
-			d.handle(queued)
-			n += len(queued.events)
-		default:
+		queued, ok := d.nextQueued()
+		if !ok {
+			return
+		}
+		d.handle(queued)
+		n += len(queued.events)
+		if d.ticks.IsDue(d.clock.Now()) {
 			return
 		}
 	}
 }
 
+// nextQueued takes the next queued events from their queue, if there are any.
+func (d *Daemon) nextQueued() (queuedEvents, bool) {
+	select {
+	case queued := <-d.firstEvents:
+		return queued, true
+	default:
+	}
+	select {
+	case queued := <-d.events:
+		return queued, true
+	default:
+		return queuedEvents{}, false
+	}
+}
+
 func (d *Daemon) publishState(now time.Time) {
 	if e := d.node.Entry; e != nil {
 		d.ready.Store(e.Ready(now))
--- a/io/tbdaemon/loop_account.go
+++ b/io/tbdaemon/loop_account.go
@@ -114,7 +114,7 @@
 		return
 	}
 	if d.isConfirmedLeader.Load() {
-		d.log.Info("event loop", "ms", now.Sub(a.since).Milliseconds(), "busyMs", a.busyTime().Milliseconds(), "queued", len(d.events),
+		d.log.Info("event loop", "ms", now.Sub(a.since).Milliseconds(), "busyMs", a.busyTime().Milliseconds(), "queued", len(d.firstEvents)+len(d.events),
 			"kinds", a.kinds(), "plans", a.plans)
 	}
 	load := a.load
