--- a/core/tbcontrol/leader_load_fake_test.go
+++ b/core/tbcontrol/leader_load_fake_test.go
@@ -17,6 +17,7 @@
 	"tamarackbarrow/core/tbcontrol"
 	"tamarackbarrow/core/tbfleet"
 	"tamarackbarrow/core/tbflow"
+	"tamarackbarrow/core/tbnode"
 	"tamarackbarrow/core/tbplacement"
 	"tamarackbarrow/core/tbresource"
 	"tamarackbarrow/io/tbbundlefile"
@@ -50,6 +51,10 @@
 	fillWaits []time.Duration
 	// assignedRuns holds the descriptions of the best-effort runs that were assigned, up to the worker.
 	assignedRuns map[string]bool
+	// restartWaits holds the times between two runs of long-running tasks. stoppedTasks holds the ends of the tasks
+	// that do not run again yet.
+	restartWaits []time.Duration
+	stoppedTasks map[tbflow.TaskRef]time.Time
 	// observe executes the events of the replicas, if it is set.
 	observe loadObserver
 }
@@ -106,12 +111,17 @@
 	id      tbconsensus.ReplicaID
 	control *tbcontrol.Control
 	stopped bool
-	inbox   []queuedLoadEvent
+	// firstInbox holds the events that are handled before those of inbox.
+	firstInbox []queuedLoadEvent
+	inbox      []queuedLoadEvent
 	// freeAt is when the processor has handled its current event. inPass is true between the first event of a
 	// pass of the event loop and the end of the pass, and passEvents counts the events of the pass.
 	freeAt     time.Time
 	inPass     bool
 	passEvents int
+	// ticks says when the replica is ticked, and ticked is true once it was in this pass.
+	ticks  tbnode.TickSchedule
+	ticked bool
 	// unsaved holds the saves that wait for the disk, which is busy while a sync is in progress.
 	unsaved []tbcontrol.Save
 	syncing bool
@@ -130,6 +140,7 @@
 	incarnation int64
 	sequence    uint64
 	silentUntil time.Time
+	draining    bool
 	running     map[tbflow.TaskRef]loadRun
 	ended       []tbfleet.ListedEnd
 	ackedEnds   uint64
@@ -180,8 +191,8 @@
 
 func newLoadSimulation(t testing.TB, seed uint64, workers int, slowdown float64) *loadSimulation {
 	s := &loadSimulation{
-		assignedRuns: map[string]bool{},
-		t:            t, rng: rand.New(rand.NewPCG(seed, 40)), now: time.UnixMilli(1_700_000_000_000), byID: map[string]*loadWorker{}, slowdown: slowdown, workerDelay: 4 * time.Millisecond,
+		assignedRuns: map[string]bool{}, stoppedTasks: map[tbflow.TaskRef]time.Time{},
+		t: t, rng: rand.New(rand.NewPCG(seed, 40)), now: time.UnixMilli(1_700_000_000_000), byID: map[string]*loadWorker{}, slowdown: slowdown, workerDelay: 4 * time.Millisecond,
 		runTimes: map[string]time.Duration{shortQueue: 540 * time.Millisecond, fillQueue: 2300 * time.Millisecond},
 	}
 	var members []tbconsensus.Member
@@ -246,7 +257,7 @@
 		}
 		w.sequence++
 		reports = append(reports, tbfleet.Report{
-			ID: w.id, Address: w.id, Incarnation: w.incarnation, Class: "c", ClockMs: s.clockMs(), Sequence: w.sequence, Capacity: loadWorkerCapacity,
+			ID: w.id, Address: w.id, Incarnation: w.incarnation, Class: "c", ClockMs: s.clockMs(), Sequence: w.sequence, Capacity: loadWorkerCapacity, Draining: w.draining,
 		})
 	}
 	s.request(tbcontrol.WorkersReported{Reports: reports})
@@ -275,6 +286,10 @@
 }
 
 func (s *loadSimulation) deliver(r *loadReplica, ev tbcontrol.Event) {
+	if tbcontrol.GoesFirst(ev) {
+		r.firstInbox = append(r.firstInbox, queuedLoadEvent{event: ev, at: s.now})
+		return
+	}
 	r.inbox = append(r.inbox, queuedLoadEvent{event: ev, at: s.now})
 }
 
@@ -303,11 +318,10 @@
 
 // nextStepAt returns when the processor of a replica handles its next event.
 func (s *loadSimulation) nextStepAt(r *loadReplica) time.Time {
-	if r.inPass || len(r.inbox) > 0 {
+	if r.inPass || len(r.firstInbox)+len(r.inbox) > 0 {
 		return latest(r.freeAt, s.now)
 	}
-	// A timer of the event loop waits for at least a millisecond.
-	return latest(r.freeAt.Add(time.Millisecond), r.control.NextDue())
+	return latest(r.freeAt, r.ticks.Due())
 }
 
 // maxPassEvents is the largest number of events in one pass of the event loop.
@@ -317,16 +331,20 @@
 func (s *loadSimulation) stepReplica(r *loadReplica) {
 	var ev tbcontrol.Event
 	switch {
-	case len(r.inbox) > 0 && r.passEvents < maxPassEvents:
+	case len(r.firstInbox)+len(r.inbox) > 0 && r.passEvents < maxPassEvents && !r.ticked && (!r.inPass || !r.ticks.IsDue(s.now)):
+		inbox := &r.inbox
+		if len(r.firstInbox) > 0 {
+			inbox = &r.firstInbox
+		}
 		r.load.Events++
-		r.load.AgeSum += s.now.Sub(r.inbox[0].at)
-		ev, r.inbox, r.inPass = r.inbox[0].event, r.inbox[1:], true
+		r.load.AgeSum += s.now.Sub((*inbox)[0].at)
+		ev, *inbox, r.inPass = (*inbox)[0].event, (*inbox)[1:], true
 		r.passEvents++
-	case r.inPass:
+	case !r.ticked && (!r.inPass || r.ticks.IsDue(s.now)):
+		ev, r.inPass, r.ticked = tbcontrol.Tick{}, true, true
+	default:
 		ev, r.inPass, r.passEvents = tbcontrol.EventBatchEnded{Load: r.load}, false, 0
 		r.load = tbassign.Load{}
-	default:
-		ev, r.inPass = tbcontrol.Tick{}, true
 	}
 	appliedBefore := r.control.State().Applied
 	var effects []tbcontrol.Effect
@@ -337,6 +355,10 @@
 	}
 	cost := s.costOf(r, ev, effects, r.control.State().Applied-appliedBefore)
 	r.freeAt = s.now.Add(cost)
+	if !r.inPass {
+		r.ticks.EndPass(r.freeAt, r.control.NextDue(), r.ticked)
+		r.ticked = false
+	}
 	for _, e := range effects {
 		if plan, ok := e.(tbcontrol.PlanMade); ok && plan.IsFull {
 			r.load.PlanTime = cost
@@ -517,12 +539,19 @@
 		s.at(run.endsAt, func() { s.end(w, o.Ref, o.Run, tbflow.EndDone) })
 	}
 	w.running[o.Ref] = run
+	if endedAt, ok := s.stoppedTasks[o.Ref]; ok {
+		s.restartWaits = append(s.restartWaits, s.now.Sub(endedAt))
+		delete(s.stoppedTasks, o.Ref)
+	}
 }
 
 func (s *loadSimulation) end(w *loadWorker, ref tbflow.TaskRef, run uint64, kind tbflow.EndKind) {
 	if w.running[ref].number != run {
 		return
 	}
+	if w.running[ref].endsAt.IsZero() {
+		s.stoppedTasks[ref] = s.now
+	}
 	delete(w.running, ref)
 	w.ended = append(w.ended, tbfleet.ListedEnd{Number: w.ackedEnds + uint64(len(w.ended)) + 1, Ref: ref, Run: run, Kind: kind})
 	if p := w.poll; p != nil {
@@ -664,6 +693,33 @@
 	}
 }
 
+// drain lets workers that are chosen at random drain. Their next reports say so.
+func (s *loadSimulation) drain(count int) {
+	for _, i := range s.rng.Perm(len(s.workers))[:count] {
+		s.workers[i].draining = true
+	}
+}
+
+// leave lets workers that are chosen at random drain, and be gone after notice.
+func (s *loadSimulation) leave(count int, notice time.Duration) {
+	for _, i := range s.rng.Perm(len(s.workers))[:count] {
+		w := s.workers[i]
+		if w.draining {
+			continue
+		}
+		w.draining = true
+		s.at(s.now.Add(notice), func() {
+			for ref, run := range w.running {
+				if run.endsAt.IsZero() {
+					s.stoppedTasks[ref] = s.now
+				}
+			}
+			clear(w.running)
+			w.silentUntil = s.now.Add(time.Hour)
+		})
+	}
+}
+
 // onTimeShare returns the share of the jobs of a queue, submitted between two times, that ended within their
 // objective.
 func (s *loadSimulation) onTimeShare(queue string, from, to time.Time) (share float64, jobs int) {
