--- a/core/tbintake/table_test.go
+++ b/core/tbintake/table_test.go
@@ -204,3 +204,82 @@
 	qt.Check(t, accepted, qt.Equals, r.limits.RunningRequests)
 	qt.Check(t, r.limits.Connections+r.limits.RunningRequests < 1000, qt.IsTrue)
 }
+
+// Load: idle connections of as many addresses fill the table, none of which stands out. A newcomer that sends the
+// largest body is admitted, and so is one whose source has another request on its way.
+func TestNewcomersAreAdmittedBesideIdleConnectionsOfManyAddresses(t *testing.T) {
+	const idleCost = 24 << 10
+	r := newReplay(t, 184, 4100)
+	for i := range r.limits.Connections {
+		id := r.open(fmt.Sprintf("10.1.%d.%d", i/250, i%250))
+		r.run(id, 0)
+		r.table.Rest(id, idleCost, r.now)
+		r.now = r.now.Add(10 * time.Millisecond)
+	}
+	qt.Assert(t, r.table.Bytes() > r.limits.Bytes*9/10, qt.IsTrue)
+	first := r.open(callerAddress)
+	qt.Assert(t, r.isOpen[first], qt.IsTrue)
+	for range 5 {
+		id := r.open(callerAddress)
+		for part := range 64 {
+			qt.Assert(t, r.isOpen[id] && r.receive(id, 4096*BufferFactor), qt.IsTrue, qt.Commentf("after %d parts", part))
+			r.now = r.now.Add(time.Millisecond)
+		}
+		qt.Assert(t, r.run(id, 0), qt.IsTrue)
+		r.table.Rest(id, 0, r.now)
+	}
+	qt.Check(t, r.isOpen[first], qt.IsTrue)
+}
+
+// Load: addresses with one connection each that stop just short of the end of a large body. A caller with a large body
+// is served throughout.
+func TestLargeRequestsAreServedBesideIncompleteOnesOfManyAddresses(t *testing.T) {
+	r := newReplay(t, 184, 4100)
+	send := func(source string) (ID, bool) {
+		id := r.open(source)
+		for range 64 {
+			if !r.isOpen[id] || !r.receive(id, 4096*BufferFactor) {
+				return id, false
+			}
+		}
+		return id, true
+	}
+	for i := range 1000 {
+		_, _ = send(fmt.Sprintf("10.1.%d.%d", i/250, i%250))
+		r.now = r.now.Add(time.Millisecond)
+		if i%20 == 0 {
+			id, ok := send(callerAddress)
+			qt.Assert(t, ok && r.run(id, 0), qt.IsTrue, qt.Commentf("after %d clients", i))
+			r.table.Rest(id, 0, r.now)
+			r.close(id)
+		}
+	}
+}
+
+// Load: idle connections of as many addresses take all descriptors for connections. A newcomer is admitted.
+func TestNewcomersAreAdmittedIfOtherAddressesHoldAllConnections(t *testing.T) {
+	r := newReplay(t, 4096, 200)
+	for i := range r.limits.Connections {
+		r.open(fmt.Sprintf("10.1.0.%d", i))
+		r.now = r.now.Add(time.Millisecond)
+	}
+	for _, source := range []string{"10.0.0.9", "10.2.0.1"} {
+		qt.Check(t, r.isOpen[r.open(source)], qt.IsTrue, qt.Commentf("%s", source))
+	}
+}
+
+// Load: one address holds half of the connections and little memory. Others are not given up for it.
+func TestManyConnectionsOfOneAddressDoNotEvictOthers(t *testing.T) {
+	r := newReplay(t, 4096, 200)
+	var callers []ID
+	for i := range r.limits.Connections / 2 {
+		callers = append(callers, r.open(fmt.Sprintf("10.1.0.%d", i)))
+	}
+	r.now = r.now.Add(10 * time.Second)
+	for range 1000 {
+		r.open(crowdAddress)
+	}
+	for _, id := range callers {
+		qt.Assert(t, r.isOpen[id], qt.IsTrue)
+	}
+}
--- a/io/tbhttp/intake_test.go
+++ b/io/tbhttp/intake_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
+	"compress/gzip"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -225,6 +229,103 @@
 	}
 }
 
+// gzipOf returns size zero bytes in compressed form.
+func gzipOf(t *testing.T, size int) []byte {
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	_, err := w.Write(make([]byte, size))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, w.Close(), qt.IsNil)
+	return b.Bytes()
+}
+
+// enveloped returns a message with the prefix of the gRPC and Connect streaming protocols.
+func enveloped(message []byte) []byte {
+	return append(binary.BigEndian.AppendUint32([]byte{1}, uint32(len(message))), message...)
+}
+
+// wholeServer serves a handler behind Whole and returns its URL.
+func wholeServer(t *testing.T, fx *fixture, limit int64, handler http.HandlerFunc) string {
+	listener, err := fx.intake.Listen("127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	server := &http.Server{Handler: fx.intake.Whole(handler, limit)}
+	fx.intake.Bind(server)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { server.Close() })
+	return "http://" + listener.Addr().String()
+}
+
+// Small compressed requests counted as the largest ones, so that 190 of 200 at a time were refused by a process with
+// 4,096 MB.
+func TestSmallCompressedRequestsAreServedTogether(t *testing.T) {
+	const clients, size = 200, 100
+	for header, body := range map[string][]byte{
+		"Content-Encoding": gzipOf(t, size), "Grpc-Encoding": enveloped(gzipOf(t, size)), "Connect-Content-Encoding": enveloped(gzipOf(t, size)),
+	} {
+		t.Run(header, func(t *testing.T) {
+			fx := newFixture(t, tbintake.LimitsOf(4096<<20, 4096), nil)
+			var arrived sync.WaitGroup
+			arrived.Add(clients)
+			url := wholeServer(t, fx, 4<<20, func(http.ResponseWriter, *http.Request) {
+				arrived.Done()
+				arrived.Wait()
+			})
+			statuses := make(chan int, clients)
+			for range clients {
+				go func() {
+					status := postCompressed(t, url, header, body)
+					if status != http.StatusOK {
+						arrived.Done()
+					}
+					statuses <- status
+				}()
+			}
+			for range clients {
+				qt.Check(t, <-statuses, qt.Equals, http.StatusOK)
+			}
+		})
+	}
+}
+
+func postCompressed(t *testing.T, url, header string, body []byte) int {
+	req, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(body))
+	qt.Check(t, err, qt.IsNil)
+	req.Header.Set(header, "gzip")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// A compressed request is refused if what it decodes to is larger than the limit, or needs more memory than there is,
+// whether it is one message or several.
+func TestCompressedRequestsCountByTheirDecodedSize(t *testing.T) {
+	const limit = 1 << 20
+	large, half := gzipOf(t, limit+1), enveloped(gzipOf(t, limit*2/3))
+	for name, c := range map[string]struct {
+		header string
+		body   []byte
+		status int
+	}{
+		"whole":              {"Content-Encoding", large, http.StatusRequestEntityTooLarge},
+		"one message":        {"Grpc-Encoding", enveloped(large), http.StatusRequestEntityTooLarge},
+		"two messages":       {"Connect-Content-Encoding", append(slices.Clone(half), half...), http.StatusRequestEntityTooLarge},
+		"within the limit":   {"Content-Encoding", gzipOf(t, limit), http.StatusOK},
+		"one of two fits":    {"Grpc-Encoding", half, http.StatusOK},
+		"not compressed":     {"Content-Encoding", []byte("x"), http.StatusOK},
+		"cut short":          {"Grpc-Encoding", half[:len(half)/2], http.StatusOK},
+		"length beyond body": {"Grpc-Encoding", []byte{1, 255, 255, 255, 255, 0}, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fx := newFixture(t, tbintake.LimitsOf(4096<<20, 4096), nil)
+			url := wholeServer(t, fx, limit, func(http.ResponseWriter, *http.Request) {})
+			qt.Check(t, postCompressed(t, url, c.header, c.body), qt.Equals, c.status)
+		})
+	}
+}
+
 // After a refused read, the next one returned later bytes of the stream as if none were missing.
 func TestNothingIsReadAfterARefusedRead(t *testing.T) {
 	client, raw := net.Pipe()
