Give up idle connections of many addresses for a newcomer

Callers whose requests were larger than the share of one address were refused beside idle connections of many addresses: their own address held the most, and had nothing else to give up.

The address that holds the most is now the only one to give something up if it holds more than a 32nd of the limit. Otherwise, what has held the most memory for the longest time goes, whatever its address. Connections are counted by their number if they exceed their limit, and requests that share a connection are not given up for it.

--- a/core/tbintake/table.go
+++ b/core/tbintake/table.go
@@ -45,6 +45,10 @@
 // that a flood of newcomers does not cause a search for each of them.
 const evictionSlack = 32
 
+// notableDivisor is the part of a limit above which a source stands out, as a divisor. With 80 MB it leaves room for a
+// body of 256 KB.
+const notableDivisor = 32
+
 // Table holds the connections of a process. It is not safe for concurrent use.
 type Table struct {
 	limits       Limits
@@ -212,18 +216,21 @@
 }
 
 // isOver reports whether a limit, reduced by slack parts of evictionSlack, is exceeded.
-func (t *Table) isOver(slack int64) bool {
-	return t.bytes > t.limits.Bytes-slack*(t.limits.Bytes/evictionSlack) ||
-		t.connections > t.limits.Connections-int(slack)*(t.limits.Connections/evictionSlack)
+func (t *Table) isOver(slack int64) bool { return t.isOverBytes(slack) || t.isOverConnections(slack) }
+
+func (t *Table) isOverBytes(slack int64) bool {
+	return t.bytes > t.limits.Bytes-slack*(t.limits.Bytes/evictionSlack)
 }
 
-// makeRoom evicts entries until the limits hold, and then a little more. It evicts from the source that
-// holds the most memory in entries without a whole request, and there first what has held the most
-// memory for the longest time. It reports false if that source has nothing but the newcomer, which then
-// has to go.
+func (t *Table) isOverConnections(slack int64) bool {
+	return t.connections > t.limits.Connections-int(slack)*(t.limits.Connections/evictionSlack)
+}
+
+// makeRoom evicts entries until the limits hold, and then a little more: first what has held the most memory for the
+// longest time. It reports false if there is nothing but the newcomer to evict, which then has to go.
 func (t *Table) makeRoom(newcomer *entry, now time.Time) (evicted []ID, ok bool) {
 	for t.isOver(0) {
-		candidates := t.largestSource(newcomer)
+		candidates := t.candidates(newcomer)
 		if len(candidates) == 0 {
 			return evicted, false
 		}
@@ -241,26 +248,38 @@
 	return evicted, true
 }
 
-// largestSource returns the evictable entries, other than the newcomer, of the source that holds the most
-// memory in entries without a whole request.
-func (t *Table) largestSource(newcomer *entry) []*entry {
-	bySource := map[string]int64{}
+// candidates returns entries, other than the newcomer, that may be evicted for the limit that is exceeded: those of the
+// source that holds the most, if it stands out, and else those of all sources. If none stands out, the source of a
+// newcomer with a large request may hold the most, and would be kept out for good by many that hold little each.
+func (t *Table) candidates(newcomer *entry) []*entry {
+	countsConnections := !t.isOverBytes(0)
+	notable := t.limits.Bytes / notableDivisor
+	if countsConnections {
+		notable = int64(t.limits.Connections / notableDivisor)
+	}
+	var all []*entry
+	held := map[string]int64{}
 	for _, e := range t.entries {
-		if e.isEvictable() {
-			bySource[e.source] += e.cost
+		if !e.isEvictable() || countsConnections && e.isShared {
+			continue
 		}
-	}
-	largest, most := "", int64(-1)
-	for source, held := range bySource {
-		if held > most || held == most && source < largest {
-			largest, most = source, held
+		if e != newcomer {
+			all = append(all, e)
+		}
+		if countsConnections {
+			held[e.source]++
+		} else {
+			held[e.source] += e.cost
 		}
 	}
-	var candidates []*entry
-	for _, e := range t.entries {
-		if e.isEvictable() && e != newcomer && e.source == largest {
-			candidates = append(candidates, e)
+	var largest *entry
+	for _, e := range all {
+		if largest == nil || cmp.Or(cmp.Compare(held[e.source], held[largest.source]), cmp.Compare(largest.source, e.source)) > 0 {
+			largest = e
 		}
 	}
-	return candidates
+	if largest == nil || held[largest.source] <= notable {
+		return all
+	}
+	return slices.DeleteFunc(all, func(e *entry) bool { return e.source != largest.source })
 }
