Count compressed requests by their decompressed size

Small compressed requests to the own interface were refused with 503 beside others: each counted as the largest message that is allowed, 4 MiB, which is decoded in 256 MB.

A compressed body is now decompressed once without being kept, and counts by what it contains. Both forms of compression count, the whole body and single messages in it, because the headers may name both. Larger ones than allowed are refused with 413 before they reach the handler. Decompressing has a cost of its own, 64 KB.

--- a/core/tbintake/limits.go
+++ b/core/tbintake/limits.go
@@ -11,6 +11,8 @@
 	LineCost = 256
 	// BufferFactor is the memory for each received byte, because buffers double when they grow.
 	BufferFactor = 2
+	// InflateCost covers the buffers to decompress one request.
+	InflateCost = 64 << 10
 	// ReceiveBuffer is the size of a connection's receive buffer in the kernel.
 	ReceiveBuffer = 32 << 10
 )
--- a/io/tbhttp/intake_test.go
+++ b/io/tbhttp/intake_test.go
@@ -204,7 +204,7 @@
 	fx.waitFor(func() bool { return fx.bytes() == 0 })
 }
 
-// A compressed request of the own interface counts as the largest one. On a shared connection, it was refused for good,
+// A compressed request of the own interface counted as the largest one. On a shared connection, it was refused for good,
 // because the connection counted as another request of its client.
 func TestCompressedRequestOnSharedConnectionIsServed(t *testing.T) {
 	fx := newFixture(t, tbintake.LimitsOf(184<<20, 4000), nil)
@@ -324,6 +324,9 @@
 			qt.Check(t, postCompressed(t, url, c.header, c.body), qt.Equals, c.status)
 		})
 	}
+	header := http.Header{"Content-Encoding": {"gzip"}, "Grpc-Encoding": {"gzip"}}
+	qt.Check(t, decodedSize(header, enveloped(large), limit) > limit, qt.IsTrue, qt.Commentf("one encoding must not hide the other"))
+	qt.Check(t, decodedSize(header, large, limit) > limit, qt.IsTrue)
 }
 
 // After a refused read, the next one returned later bytes of the stream as if none were missing.
--- a/io/tbhttp/request.go
+++ b/io/tbhttp/request.go
@@ -207,9 +207,13 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		size := int64(len(body))
-		if isCompressed(r.Header) {
-			size = limit
+		if isCompressed(r.Header) && !admitCost(w, r, tbintake.InflateCost) {
+			return
+		}
+		size := decodedSize(r.Header, body, limit)
+		if size > limit {
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			return
 		}
 		if !admitCost(w, r, tbintake.ProtoCost(size)) {
 			return
@@ -218,13 +222,3 @@
 		next.ServeHTTP(w, r)
 	})
 }
-
-// isCompressed reports whether a body may be larger when it is decoded.
-func isCompressed(h http.Header) bool {
-	for _, key := range []string{"Content-Encoding", "Connect-Content-Encoding", "Grpc-Encoding"} {
-		if encoding := h.Get(key); encoding != "" && encoding != "identity" {
-			return true
-		}
-	}
-	return false
-}
