Take no more memory and descriptors for granted than the process may use

Without a section [limits] a process took 4,096 MB and 4,096 descriptors for granted, so that on a smaller machine, or in a smaller control group, crowds of clients still ended it.

The defaults are now the least of these, three quarters of the machine's memory, the limits of the process's control groups (versions 1 and 2, and all groups above), and RLIMIT_NOFILE. A setting that is named stays as it is, with a warning if it is more. The settings check prints what is in force, and the daemon logs it.

--- a/io/tbcommand/command.go
+++ b/io/tbcommand/command.go
@@ -17,6 +17,7 @@
 
 	"tamarackbarrow/io/tbdaemon"
 	"tamarackbarrow/io/tblog"
+	"tamarackbarrow/io/tbmachine"
 	"tamarackbarrow/io/tbproto/v1/tbprotov1connect"
 	"tamarackbarrow/io/tbsettings"
 	"tamarackbarrow/io/tbtoml"
@@ -114,7 +115,9 @@
 	if err != nil {
 		return err
 	}
-	tuneGarbageCollector(settings)
+	machine := tbmachine.Read()
+	settings.Limits = settings.Limits.Within(machine)
+	tuneGarbageCollector(settings, machine)
 	logOutput := tblog.New(os.Stdout, time.Now())
 	defer logOutput.Close()
 	newLogger := func(logOutput io.Writer) hclog.Logger {
@@ -123,6 +126,11 @@
 		})
 	}
 	log := newLogger(logOutput)
+	log.Info("limits in force", "memoryMB", settings.Limits.MemoryMB, "memorySource", settings.Limits.MemorySource,
+		"descriptors", settings.Limits.Descriptors, "descriptorsSource", settings.Limits.DescriptorsSource)
+	for _, warning := range settings.Limits.Excess(machine) {
+		log.Warn("limit is more than the process may use", "problem", warning)
+	}
 	d, err := tbdaemon.New(settings, log, newLogger(logOutput.Runs()), newLogger(logOutput.Routine()))
 	if err != nil {
 		return err
@@ -140,7 +148,7 @@
 func (t *tool) addSettingsCommands(app *kingpin.Application) {
 	var file string
 	settings := app.Command("settings", "Settings files of daemons.")
-	check := settings.Command("check", "Report every error in a settings file.")
+	check := settings.Command("check", "Report every error in a settings file, and the limits that it has on this machine.")
 	check.Arg("file", "Settings file.").Required().StringVar(&file)
 	check.Action(func(*kingpin.ParseContext) error {
 		s, err := tbsettings.Load(file)
@@ -148,10 +156,20 @@
 			return err
 		}
 		fmt.Fprintf(t.stdout, "%s: settings of instance %q are valid\n", file, s.ID)
+		t.printLimits(s.Limits, tbmachine.Read())
 		return nil
 	})
 }
 
+// printLimits prints the limits that a daemon with the settings has on this machine.
+func (t *tool) printLimits(l tbsettings.Limits, machine tbmachine.Resources) {
+	l = l.Within(machine)
+	fmt.Fprintf(t.stdout, "limits in force here: %s\n", l)
+	for _, warning := range l.Excess(machine) {
+		fmt.Fprintln(t.stdout, "warning:", warning)
+	}
+}
+
 // readFile reads a file and reports a failure in the same form as errors in its content.
 func readFile(file string) ([]byte, error) {
 	data, err := os.ReadFile(file)
--- a/io/tbcommand/memory.go
+++ b/io/tbcommand/memory.go
@@ -4,8 +4,8 @@
 	"math"
 	"os"
 	"runtime/debug"
-	"syscall"
 
+	"tamarackbarrow/io/tbmachine"
 	"tamarackbarrow/io/tbsettings"
 )
 
@@ -25,17 +25,16 @@
 // The leader allocates about 30 MB of garbage a second and has a live heap of 30 MB. With the
 // runtime's default, it would collect once a second. The environment variables GOGC and GOMEMLIMIT
 // take precedence.
-func tuneGarbageCollector(settings tbsettings.Settings) {
+func tuneGarbageCollector(settings tbsettings.Settings, machine tbmachine.Resources) {
 	if settings.DataFolder != "" && os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcGrowthPercent)
 	}
 	if debug.SetMemoryLimit(-1) != math.MaxInt64 {
 		return
 	}
-	memory := float64(settings.Limits.MemoryMB << 20)
-	var info syscall.Sysinfo_t
-	if syscall.Sysinfo(&info) == nil {
-		memory = min(memory, float64(info.Totalram)*float64(info.Unit))
+	memory := settings.Limits.MemoryMB << 20
+	if machine.Memory > 0 {
+		memory = min(memory, machine.Memory)
 	}
-	debug.SetMemoryLimit(int64(memoryLimitShare * memory))
+	debug.SetMemoryLimit(int64(memoryLimitShare * float64(memory)))
 }
--- a/io/tbsettings/settings_test.go
+++ b/io/tbsettings/settings_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"tamarackbarrow/io/tbmachine"
 )
 
 const validSettings = `id = "entry-1"
@@ -71,3 +73,30 @@
 	_, err = Parse("bad.toml", []byte(validSettings+"[limits]\nmemoryMB = 8\nheads = 1\n"))
 	qt.Check(t, err, qt.ErrorMatches, `bad\.toml:12: limits\.memoryMB: must be 32 or more, is 8\nbad\.toml:13: limits\.heads: unknown key`)
 }
+
+// Limits that the settings do not name follow what the process may use; those that they name stay.
+func TestLimitsFollowTheMachine(t *testing.T) {
+	small := tbmachine.Resources{Memory: 300 << 20, MemorySource: "/sys/fs/cgroup/memory.max", Descriptors: 1024}
+	for _, c := range []struct {
+		settings            string
+		machine             tbmachine.Resources
+		memory, descriptors int64
+		text                string
+		warnings            int
+	}{
+		{"", small, 300, 1024, `memoryMB = 300 (/sys/fs/cgroup/memory.max), descriptors = 1024 (RLIMIT_NOFILE)`, 0},
+		{"", tbmachine.Resources{}, 4096, 4096, `memoryMB = 4096 (default), descriptors = 4096 (default)`, 0},
+		{"", tbmachine.Resources{Memory: 1 << 40, Descriptors: 1 << 20}, 4096, 4096, `memoryMB = 4096 (default), descriptors = 4096 (default)`, 0},
+		{"", tbmachine.Resources{Memory: 8 << 20, MemorySource: "m", Descriptors: 16}, 32, 64, `memoryMB = 32 (m), descriptors = 64 (RLIMIT_NOFILE)`, 2},
+		{"memoryMB = 184\n", small, 184, 1024, `memoryMB = 184 (settings), descriptors = 1024 (RLIMIT_NOFILE)`, 0},
+		{"memoryMB = 4096\ndescriptors = 4096\n", small, 4096, 4096, `memoryMB = 4096 (settings), descriptors = 4096 (settings)`, 2},
+	} {
+		s, err := Parse("good.toml", []byte(validSettings+"[limits]\n"+c.settings))
+		qt.Assert(t, err, qt.IsNil)
+		l := s.Limits.Within(c.machine)
+		qt.Check(t, l.MemoryMB, qt.Equals, c.memory)
+		qt.Check(t, l.Descriptors, qt.Equals, c.descriptors)
+		qt.Check(t, l.String(), qt.Equals, c.text)
+		qt.Check(t, l.Excess(c.machine), qt.HasLen, c.warnings)
+	}
+}
