--- a/io/tbpeer/server.go
+++ b/io/tbpeer/server.go
@@ -8,6 +8,7 @@
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcstream"
 	"storj.io/drpc/drpcwire"
 
 	pb "tamarackbarrow/io/tbproto/v1"
@@ -20,7 +21,14 @@
 // connection on which a larger one arrives, so a client refuses to send it.
 const MaxMessageBytes = 16 << 20
 
-var managerOptions = drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: MaxMessageBytes}}
+// maxFrameBytes is the size in bytes of the largest part of a message that is sent and buffered at once. It is the
+// default of drpc, which earlier versions have.
+const maxFrameBytes = 64 << 10
+
+var managerOptions = drpcmanager.Options{
+	Reader: drpcwire.ReaderOptions{MaximumBufferSize: MaxMessageBytes},
+	Stream: drpcstream.Options{SplitSize: maxFrameBytes},
+}
 
 // Serve answers requests of peers on a listener until ctx is done.
 func Serve(ctx context.Context, l net.Listener, handler pb.DRPCPeerServiceServer) error {
