Tell the most memory of a process from what is free for it

The share of a machine's memory that a process takes for granted without a setting was also taken for the most that it may have.

--- a/io/tbcommand/command_test.go
+++ b/io/tbcommand/command_test.go
@@ -13,7 +13,8 @@
 func TestLimitsInForceArePrinted(t *testing.T) {
 	var out bytes.Buffer
 	l := tbsettings.DefaultLimits()
-	machine := tbmachine.Resources{Memory: 16 << 20, MemorySource: "/sys/fs/cgroup/memory.max", Descriptors: 1024}
+	const group = "/sys/fs/cgroup/memory.max"
+	machine := tbmachine.Resources{Memory: 16 << 20, MemorySource: group, FreeMemory: 16 << 20, FreeMemorySource: group, Descriptors: 1024}
 	(&tool{stdout: &out}).printLimits(l, machine)
 	qt.Check(t, out.String(), qt.Equals, `limits in force here: memoryMB = 32 (/sys/fs/cgroup/memory.max), descriptors = 1024 (RLIMIT_NOFILE)
 warning: limits.memoryMB is 32, but the process may use 16 (/sys/fs/cgroup/memory.max)
--- a/io/tbmachine/machine.go
+++ b/io/tbmachine/machine.go
@@ -17,9 +17,13 @@
 
 // Resources is what a process may use.
 type Resources struct {
-	// Memory is in bytes, or 0 if it is not known. MemorySource says what bounds it.
+	// Memory is what the process may have at most, in bytes, or 0 if it is not known: the least of the machine's memory and
+	// the limits of its control groups. MemorySource says what bounds it.
 	Memory       int64
 	MemorySource string
+	// FreeMemory is what it may take for granted beside other processes, and FreeMemorySource what bounds that.
+	FreeMemory       int64
+	FreeMemorySource string
 	// Descriptors is the number of file descriptors, or 0 if it is not known.
 	Descriptors int64
 }
@@ -34,17 +38,21 @@
 	return r
 }
 
-// readMemory returns the least of the machine's share and the limits of the control groups of the process.
+// readMemory returns the memory that the machine and the control groups of the process allow.
 func readMemory(root fs.FS) Resources {
 	var r Resources
-	bound := func(n int64, source string) {
-		if n > 0 && (r.Memory == 0 || n < r.Memory) {
-			r.Memory, r.MemorySource = n, source
-		}
+	if n := machineMemory(root); n > 0 {
+		r.Memory, r.MemorySource = n, "the machine's memory"
+		r.FreeMemory, r.FreeMemorySource = int64(memoryShare*float64(n)), "three quarters of the machine's memory"
 	}
-	bound(int64(memoryShare*float64(machineMemory(root))), "three quarters of the machine's memory")
 	for _, file := range groupFiles(root) {
-		bound(readNumber(root, file), "/"+file)
+		n := readNumber(root, file)
+		if n > 0 && (r.Memory == 0 || n < r.Memory) {
+			r.Memory, r.MemorySource = n, "/"+file
+		}
+		if n > 0 && (r.FreeMemory == 0 || n < r.FreeMemory) {
+			r.FreeMemory, r.FreeMemorySource = n, "/"+file
+		}
 	}
 	return r
 }
--- a/io/tbsettings/limits.go
+++ b/io/tbsettings/limits.go
@@ -77,8 +77,8 @@
 // Within returns the limits with those that the settings do not name reduced to what the process may use, but not below
 // the smallest values that can be set.
 func (l Limits) Within(r tbmachine.Resources) Limits {
-	if n := r.Memory >> 20; r.Memory > 0 && l.MemorySource != sourceSettings && n < l.MemoryMB {
-		l.MemoryMB, l.MemorySource = max(n, minMemoryMB), r.MemorySource
+	if n := r.FreeMemory >> 20; r.FreeMemory > 0 && l.MemorySource != sourceSettings && n < l.MemoryMB {
+		l.MemoryMB, l.MemorySource = max(n, minMemoryMB), r.FreeMemorySource
 	}
 	if r.Descriptors > 0 && l.DescriptorsSource != sourceSettings && r.Descriptors < l.Descriptors {
 		l.Descriptors, l.DescriptorsSource = max(r.Descriptors, minDescriptors), sourceRlimit
--- a/io/tbsettings/settings_test.go
+++ b/io/tbsettings/settings_test.go
@@ -76,7 +76,9 @@
 
 // Limits that the settings do not name follow what the process may use; those that they name stay.
 func TestLimitsFollowTheMachine(t *testing.T) {
-	small := tbmachine.Resources{Memory: 300 << 20, MemorySource: "/sys/fs/cgroup/memory.max", Descriptors: 1024}
+	small := tbmachine.Resources{
+		Memory: 400 << 20, MemorySource: "the machine's memory", FreeMemory: 300 << 20, FreeMemorySource: "three quarters of it", Descriptors: 1024,
+	}
 	for _, c := range []struct {
 		settings            string
 		machine             tbmachine.Resources
@@ -84,11 +86,12 @@
 		text                string
 		warnings            int
 	}{
-		{"", small, 300, 1024, `memoryMB = 300 (/sys/fs/cgroup/memory.max), descriptors = 1024 (RLIMIT_NOFILE)`, 0},
+		{"", small, 300, 1024, `memoryMB = 300 (three quarters of it), descriptors = 1024 (RLIMIT_NOFILE)`, 0},
 		{"", tbmachine.Resources{}, 4096, 4096, `memoryMB = 4096 (default), descriptors = 4096 (default)`, 0},
-		{"", tbmachine.Resources{Memory: 1 << 40, Descriptors: 1 << 20}, 4096, 4096, `memoryMB = 4096 (default), descriptors = 4096 (default)`, 0},
-		{"", tbmachine.Resources{Memory: 8 << 20, MemorySource: "m", Descriptors: 16}, 32, 64, `memoryMB = 32 (m), descriptors = 64 (RLIMIT_NOFILE)`, 2},
+		{"", tbmachine.Resources{Memory: 1 << 40, FreeMemory: 1 << 40, Descriptors: 1 << 20}, 4096, 4096, `memoryMB = 4096 (default), descriptors = 4096 (default)`, 0},
+		{"", tbmachine.Resources{Memory: 8 << 20, MemorySource: "m", FreeMemory: 8 << 20, FreeMemorySource: "m", Descriptors: 16}, 32, 64, `memoryMB = 32 (m), descriptors = 64 (RLIMIT_NOFILE)`, 2},
 		{"memoryMB = 184\n", small, 184, 1024, `memoryMB = 184 (settings), descriptors = 1024 (RLIMIT_NOFILE)`, 0},
+		{"memoryMB = 400\n", small, 400, 1024, `memoryMB = 400 (settings), descriptors = 1024 (RLIMIT_NOFILE)`, 0},
 		{"memoryMB = 4096\ndescriptors = 4096\n", small, 4096, 4096, `memoryMB = 4096 (settings), descriptors = 4096 (settings)`, 2},
 	} {
 		s, err := Parse("good.toml", []byte(validSettings+"[limits]\n"+c.settings))
