Test that reads wait for memory that was given up

A connection that is given up counts as free before its goroutine has run and released what it holds.

--- a/io/tbhttp/intake_test.go
+++ b/io/tbhttp/intake_test.go
@@ -352,6 +352,38 @@
 	}
 }
 
+// Load: reads for which another connection is given up, which holds its memory until its server has closed it. A reader
+// does not get ahead of that.
+func TestReadsWaitUntilGivenUpMemoryIsReleased(t *testing.T) {
+	limits := tbintake.LimitsOf(64<<20, 100)
+	limits.Bytes = 64 << 10
+	in := New(Options{Limits: limits, MaxHeadBytes: 1 << 20, Log: hclog.NewNullLogger(), Count: func(string) {}})
+	read := func(c *conn, client net.Conn) chan error {
+		done := make(chan error, 1)
+		go func() { _, _ = client.Write(make([]byte, 12<<10)) }()
+		go func() {
+			_, err := c.Read(make([]byte, 12<<10))
+			done <- err
+		}()
+		return done
+	}
+	firstClient, firstRaw := net.Pipe()
+	first := in.open(firstRaw)
+	qt.Assert(t, <-read(first, firstClient), qt.IsNil)
+	secondClient, secondRaw := net.Pipe()
+	second := in.open(secondRaw)
+	done := read(second, secondClient)
+	_, err := firstClient.Read(make([]byte, 1))
+	qt.Assert(t, err, qt.Equals, io.EOF, qt.Commentf("the first connection is given up"))
+	select {
+	case <-done:
+		t.Error("the read does not wait")
+	case <-time.After(100 * time.Millisecond):
+		first.Close()
+		qt.Check(t, <-done, qt.IsNil)
+	}
+}
+
 // A pipelined request whose head net/http has read with the request before it is accounted for.
 func TestBufferedHeadIsAccountedFor(t *testing.T) {
 	fx := newFixture(t, tbintake.LimitsOf(64<<20, 100), nil)
