Wait until memory that was given up is released

Connections that were given up counted as free at once, though their goroutines had not run.

The table remembers what it has evicted until it is closed, and reads wait while that is more than a quarter of the limit, for a second at most. In calm nothing is evicted, and nothing waits.

TestReadsWaitUntilGivenUpMemoryIsReleased failed before and passes.

--- a/core/tbintake/table.go
+++ b/core/tbintake/table.go
@@ -49,6 +49,9 @@
 // body of 256 KB.
 const notableDivisor = 32
 
+// releasingDivisor is the part of the limit that evicted entries may hold beyond it until they are closed, as a divisor.
+const releasingDivisor = 4
+
 // Table holds the connections of a process. It is not safe for concurrent use.
 type Table struct {
 	limits       Limits
@@ -59,17 +62,20 @@
 	connections  int
 	// running is the number of whole requests.
 	running int
+	// releasing holds the memory of evicted entries that were not closed yet, and releasingBytes its sum.
+	releasing      map[ID]int64
+	releasingBytes int64
 	// runningBySource holds the memory of whole requests by source.
 	runningBySource map[string]int64
 }
 
 // New returns a table without connections.
 func New(l Limits) *Table {
-	return &Table{limits: l, entries: map[ID]*entry{}, runningBySource: map[string]int64{}}
+	return &Table{limits: l, entries: map[ID]*entry{}, releasing: map[ID]int64{}, runningBySource: map[string]int64{}}
 }
 
-// Open admits a connection from a source, which is the address of the client. The caller has to close
-// the evicted connections. If ok is false, the connection is not admitted.
+// Open admits a connection from a source, which is the address of the client. The caller has to end
+// the evicted connections, and to call Close for each when its memory is free. If ok is false, the connection is not admitted.
 func (t *Table) Open(source string, now time.Time) (id ID, evicted []ID, ok bool) {
 	t.connections++
 	id, evicted, ok = t.add(&entry{source: source, cost: ConnectionCost, since: now}, now)
@@ -179,7 +185,7 @@
 	e.stage, e.since, e.cost = idle, now, ConnectionCost+cost
 }
 
-// Close removes a connection.
+// Close removes a connection, or marks the memory of one that was evicted as released.
 func (t *Table) Close(id ID) {
 	if e := t.entries[id]; e != nil {
 		if !e.isShared {
@@ -187,8 +193,20 @@
 		}
 		t.remove(e)
 	}
+	t.releasingBytes -= t.releasing[id]
+	delete(t.releasing, id)
+}
+
+func (t *Table) evict(e *entry) {
+	t.Close(e.id)
+	t.releasing[e.id] = e.cost
+	t.releasingBytes += e.cost
 }
 
+// IsReleasing reports whether evicted entries that were not closed yet hold so much memory that nothing more should be
+// read until some of them are.
+func (t *Table) IsReleasing() bool { return t.releasingBytes > t.limits.Bytes/releasingDivisor }
+
 // Bytes returns the memory of all connections and requests.
 func (t *Table) Bytes() int64 { return t.bytes }
 
@@ -241,7 +259,7 @@
 			if !t.isOver(1) {
 				break
 			}
-			t.Close(e.id)
+			t.evict(e)
 			evicted = append(evicted, e.id)
 		}
 	}
--- a/io/tbhttp/conn.go
+++ b/io/tbhttp/conn.go
@@ -51,7 +51,7 @@
 
 // open admits a connection. It returns nil if there is no room for it.
 func (in *Intake) open(raw net.Conn) *conn {
-	c := &conn{Conn: raw, intake: in, source: hostOf(raw.RemoteAddr().String()), preface: sharedPreface}
+	c := &conn{Conn: raw, intake: in, source: hostOf(raw.RemoteAddr().String()), preface: sharedPreface, gone: make(chan struct{})}
 	now := time.Now()
 	in.mu.Lock()
 	id, evicted, ok := in.table.Open(c.source, now)
@@ -95,6 +95,8 @@
 	isShared bool
 	// hasFailed is true once a read was refused. Its bytes are lost, so that nothing after them can be read.
 	hasFailed atomic.Bool
+	// gone is closed when the connection is given up.
+	gone chan struct{}
 }
 
 // Read implements net.Conn. It fails if there is no room for what it has read.
@@ -112,7 +114,10 @@
 	case headBytes > c.intake.maxHeadBytes.Load()+headSlack:
 		c.intake.options.Count(counterTooLargeHeads)
 		answer = tooLargeHead
-	case cost == 0 || c.intake.receive(c.id, cost):
+	case cost == 0:
+		return n, err
+	case c.intake.receive(c.id, cost):
+		c.intake.waitForRelease(c.gone)
 		return n, err
 	}
 	c.hasFailed.Store(true)
@@ -173,7 +178,10 @@
 	return c.Conn.Close()
 }
 
-func (c *conn) evict() { c.Conn.Close() }
+func (c *conn) evict() {
+	close(c.gone)
+	c.Conn.Close()
+}
 
 // onState follows the requests of the connection. net/http reports StateActive when it has read a head or
 // when the first of several requests begins, and StateIdle when all are answered.
--- a/io/tbhttp/intake.go
+++ b/io/tbhttp/intake.go
@@ -34,6 +34,9 @@
 // logInterval is the shortest time between two log lines about evictions and refusals.
 const logInterval = 10 * time.Second
 
+// releaseTimeout bounds the time that a read waits for connections that were given up.
+const releaseTimeout = time.Second
+
 // ErrNoRoom means that a request was not read to its end, or not admitted, because the process has no room
 // for it. It has not been executed.
 var ErrNoRoom = errors.New("no room for the request")
@@ -66,6 +69,8 @@
 	mu     sync.Mutex
 	table  *tbintake.Table
 	owners map[tbintake.ID]owner
+	// released is closed when reads no longer have to wait for connections that were given up; nil if none waits.
+	released chan struct{}
 	// loggedAt is when a line about evictions and refusals was logged, and evicted and refused count
 	// them since.
 	loggedAt         time.Time
@@ -204,6 +209,32 @@
 	defer in.mu.Unlock()
 	in.table.Close(id)
 	delete(in.owners, id)
+	if in.released != nil && !in.table.IsReleasing() {
+		close(in.released)
+		in.released = nil
+	}
+}
+
+// waitForRelease waits until connections that were given up have released most of their memory, or gone is closed. Their
+// servers may not have run yet, and without a pause readers would get ahead of them.
+func (in *Intake) waitForRelease(gone <-chan struct{}) {
+	in.mu.Lock()
+	if !in.table.IsReleasing() {
+		in.mu.Unlock()
+		return
+	}
+	if in.released == nil {
+		in.released = make(chan struct{})
+	}
+	released := in.released
+	in.mu.Unlock()
+	timeout := time.NewTimer(releaseTimeout)
+	defer timeout.Stop()
+	select {
+	case <-released:
+	case <-gone:
+	case <-timeout.C:
+	}
 }
 
 // canFit reports whether there would be room to answer a request if it were the only one.
