Size the room for peers by what an instance gets from them

Crowds at the ports for peers and for clients at once took a front beyond its memory: the port for peers had room for a message of 16 MiB, which only replicas of the control group get. Other instances get calls that were handed over, of 4 MiB at most, and refuse all else.

--- a/io/tbdaemon/daemon.go
+++ b/io/tbdaemon/daemon.go
@@ -222,8 +222,7 @@
 	}
 	server := d.httpServer()
 	d.spawn(func() {
-		limits := tbpeer.LimitsOf(d.settings.Limits.MemoryMB<<20, int(d.settings.Limits.Descriptors))
-		peers := tbpeer.NewIntake(limits, d.counters.add, d.log)
+		peers := tbpeer.NewIntake(d.peerLimits(), d.counters.add, d.log)
 		if err := tbpeer.Serve(d.ctx, d.traffic.CountListener(peers.Listener(peerListener)), &peerHandler{d: d}); err != nil {
 			d.log.Debug("peer listener ended", "error", err)
 		}
--- a/io/tbdaemon/intake.go
+++ b/io/tbdaemon/intake.go
@@ -5,6 +5,7 @@
 
 	"tamarackbarrow/core/tbintake"
 	"tamarackbarrow/io/tbhttp"
+	"tamarackbarrow/io/tbpeer"
 	"tamarackbarrow/io/tbsettings"
 )
 
@@ -19,5 +20,15 @@
 	})
 }
 
+// peerLimits returns the limits for the connections of peers. An instance without the control role gets no more from peers
+// than calls that were handed over.
+func (d *Daemon) peerLimits() tbintake.Limits {
+	largest := int64(maxRequestBytes)
+	if d.storage != nil {
+		largest = tbpeer.MaxMessageBytes
+	}
+	return tbpeer.LimitsOf(d.settings.Limits.MemoryMB<<20, int(d.settings.Limits.Descriptors), largest)
+}
+
 // Intake returns the intake of all servers of the process.
 func (d *Daemon) Intake() *tbhttp.Intake { return d.intake }
--- a/io/tbpeer/intake.go
+++ b/io/tbpeer/intake.go
@@ -26,13 +26,12 @@
 // logInterval is the shortest time between two log lines about evictions.
 const logInterval = 10 * time.Second
 
-// messageRoom is the memory in bytes in which the largest message always fits beside smaller ones.
-const messageRoom = MaxMessageBytes * tbintake.BufferFactor * 5 / 4
-
 // LimitsOf returns the limits for the connections of peers to a process with memory bytes and a number of file
-// descriptors. They are apart from those for clients, so that neither can keep the other out.
-func LimitsOf(memory int64, descriptors int) tbintake.Limits {
-	return tbintake.Limits{Bytes: max(memory/memoryDivisor, messageRoom), Connections: descriptors / descriptorsDivisor}
+// descriptors. They are apart from those for clients, so that neither can keep the other out. There is always room for
+// the largest message that the process gets, in bytes, beside smaller ones.
+func LimitsOf(memory int64, descriptors int, largestMessage int64) tbintake.Limits {
+	room := largestMessage * tbintake.BufferFactor * 5 / 4
+	return tbintake.Limits{Bytes: max(memory/memoryDivisor, room), Connections: descriptors / descriptorsDivisor}
 }
 
 // Intake bounds the memory and the number of the connections of peers together.
--- a/io/tbpeer/intake_test.go
+++ b/io/tbpeer/intake_test.go
@@ -73,7 +73,7 @@
 // Load: connections at the port for peers that send a large message but its end, and silent ones. A peer is answered, and
 // what the connections hold stays bounded.
 func TestPeersAreAnsweredBesideIncompleteMessages(t *testing.T) {
-	limits := LimitsOf(80<<20, 200)
+	limits := LimitsOf(80<<20, 200, MaxMessageBytes)
 	in := NewIntake(limits, func(string) {}, hclog.NewNullLogger())
 	listener, err := Listen("127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
@@ -102,7 +102,7 @@
 
 // The largest message is received by the smallest process, beside others.
 func TestLargestMessageIsReceivedByTheSmallestProcess(t *testing.T) {
-	in := NewIntake(LimitsOf(32<<20, 64), func(string) {}, hclog.NewNullLogger())
+	in := NewIntake(LimitsOf(32<<20, 64, MaxMessageBytes), func(string) {}, hclog.NewNullLogger())
 	server, client := net.Pipe()
 	defer client.Close()
 	c := in.open(server)
