--- a/io/tbdaemon/daemon.go
+++ b/io/tbdaemon/daemon.go
@@ -226,7 +226,8 @@
 	}
 	server := d.httpServer()
 	d.spawn(func() {
-		if err := tbpeer.Serve(d.ctx, d.traffic.CountListener(peerListener), &peerHandler{d: d}); err != nil {
+		peers := tbpeer.NewIntake(d.peerLimits(), d.counters.add, d.log)
+		if err := tbpeer.Serve(d.ctx, d.traffic.CountListener(peers.Listener(peerListener)), &peerHandler{d: d}); err != nil {
 			d.log.Debug("peer listener ended", "error", err)
 		}
 	})
