--- a/core/tbfleet/faults_fake_test.go
+++ b/core/tbfleet/faults_fake_test.go
@@ -71,6 +71,16 @@
 	sim.extendFaults(25 * time.Second)
 }
 
+// injectTakeoverFaults crashes the leader every few seconds, and restarts workers in between.
+func (sim *simulation) injectTakeoverFaults() {
+	if sim.rng.Float64() < leaderCrashRatePerTick {
+		sim.crashLeader()
+	}
+	if sim.rng.Float64() < workerRestartRatePerTick {
+		sim.restartWorker(sim.randomAddress())
+	}
+}
+
 func (sim *simulation) randomAddress() string { return sim.addresses[sim.rng.IntN(len(sim.addresses))] }
 
 func (sim *simulation) crashLeader() {
@@ -201,7 +211,7 @@
 		return
 	}
 	sim.logf("%s/%d drains", fw.id, fw.incarnation)
-	fw.draining = true
+	fw.draining, sim.drainedIDs[fw.id] = true, true
 	sim.sendReport(fw)
 	sim.extendFaults(drainTimeout + 2*tick)
 	sim.schedule(drainTimeout, func() {
@@ -231,7 +241,7 @@
 		return
 	}
 	sim.logf("%s/%d signs off", fw.id, fw.incarnation)
-	fw.signedOff, sim.signedOffIDs[fw.id] = true, true
+	fw.signedOff = true
 	for range 1 + sim.rng.IntN(2) {
 		delay := sim.oneWayDelay(maxAnswerDelay)
 		switch {
--- a/core/tbfleet/late_renewals_test.go
+++ b/core/tbfleet/late_renewals_test.go
@@ -23,13 +23,13 @@
 	var late []tbfleet.Poll
 	for _, advance := range []time.Duration{5 * time.Second, 5500 * time.Millisecond} {
 		fx.advance(advance, true)
-		fx.advance(tick, false)
+		fx.loseRenewal(t)
 		qt.Assert(t, fx.now.Sub(fx.renewedAt) < 100*time.Millisecond, qt.IsTrue)
 		late = append(late, fx.renewal)
 	}
 	fx.state.Apply(fx.now.UnixMilli(), tbflow.RecordInterference{})
 	fx.fleet, fx.polls = tbfleet.New(params, 2), nil
-	fx.fleet.TakeOver(fx.now, fx.state)
+	fx.fleet.TakeOver(fx.now, fx.state, tbfleet.NewOutstandingTimes(fx.now, fx.state))
 
 	fx.worker = newFakeWorker("w", fx.now, 0.98)
 	events := []struct {
--- a/core/tbfleet/restarted_test.go
+++ b/core/tbfleet/restarted_test.go
@@ -16,17 +16,23 @@
 	now    time.Time
 	state  *tbflow.State
 	fleet  *tbfleet.Fleet
+	term   uint64
 	worker *fakeWorker
+	// times are those of the replica that leads next.
+	times *tbfleet.OutstandingTimes
 	// polls holds the polls in flight. renewal is the last poll that renewed the lease. lastAck is
 	// the last poll that acknowledged ends.
 	polls     []tbfleet.Poll
 	renewal   tbfleet.Poll
 	lastAck   tbfleet.Poll
 	renewedAt time.Time
+	// losesRenewals is true if the next poll that renews the lease is lost.
+	losesRenewals bool
 }
 
 func newWorkerFixture() *workerFixture {
-	fx := &workerFixture{now: time.UnixMilli(1_700_000_000_000), state: tbflow.New(), fleet: tbfleet.New(params, 1)}
+	fx := &workerFixture{now: time.UnixMilli(1_700_000_000_000), state: tbflow.New(), fleet: tbfleet.New(params, 1), term: 1}
+	fx.times = tbfleet.NewOutstandingTimes(fx.now, fx.state)
 	fx.worker = newFakeWorker("w", fx.now.Add(-time.Minute), 1)
 	fx.state.Apply(fx.now.UnixMilli(), tbflow.PutConfig{Config: tbflow.Config{Version: 1, Queues: []tbflow.Queue{
 		{Name: "q", Key: tbflow.QueueKey{Host: "h", Prefix: "/q/"}, WorkerClass: "c", MaxFailures: 3},
@@ -62,12 +68,14 @@
 
 func (fx *workerFixture) apply(c tbflow.Command) {
 	fx.state.Apply(fx.now.UnixMilli(), c)
+	fx.times.HandleApplied(fx.now, fx.state, c)
+	fx.times.RemoveExpired(fx.state)
 	fx.fleet.HandleApplied(fx.now, fx.state, c)
 }
 
 // leaveUnanswered tells the leader that a poll got no answer.
 func (fx *workerFixture) leaveUnanswered(poll tbfleet.Poll) {
-	fx.fleet.HandlePollAnswered(fx.now, tbfleet.PollAnswered{Worker: "w", Incarnation: poll.Target.Incarnation, LastRecordedEnd: poll.LastRecordedEnd, SentAt: fx.now})
+	fx.fleet.HandlePollAnswered(fx.now, tbfleet.PollAnswered{Worker: "w", Incarnation: poll.Target.Incarnation, LastRecordedEnd: poll.LastRecordedEnd, LeaseEndMs: poll.LeaseEndMs, SentAt: fx.now})
 }
 
 // advance advances the time by d. If the worker is reachable, it answers polls at once.
@@ -80,8 +88,9 @@
 		polls := fx.polls
 		fx.polls = nil
 		for _, l := range polls {
-			if !reachable {
+			if !reachable || fx.losesRenewals && l.LeaseEndMs > 0 {
 				fx.leaveUnanswered(l)
+				fx.losesRenewals = false
 				continue
 			}
 			a := fx.worker.poll(fx.now, l)
@@ -94,6 +103,15 @@
 	}
 }
 
+// loseRenewal advances the time until a poll that renews the lease gets no answer, which is then renewal.
+func (fx *workerFixture) loseRenewal(t *testing.T) {
+	t.Helper()
+	fx.losesRenewals = true
+	for end := fx.now.Add(params.Lease); fx.losesRenewals; fx.advance(tick, true) {
+		qt.Assert(t, fx.now.Before(end), qt.IsTrue)
+	}
+}
+
 // takeCommands returns the leader's commands and adds its polls to polls.
 func (fx *workerFixture) takeCommands() []tbflow.Command {
 	out := fx.fleet.TakeOutput()
@@ -149,6 +167,7 @@
 	fx.fleet.HandleStartAnswered(fx.now, tbfleet.StartAnswered{Worker: "w", Incarnation: start.Target.Incarnation, Ref: start.Ref, Run: start.Run})
 	// For a while, the worker answers polls but no stop orders. The last poll arrives late.
 	fx.advance(4*time.Second, true)
+	fx.loseRenewal(t)
 	fx.advance(time.Second, false)
 	poll, polledAt := fx.renewal, fx.renewedAt
 	qt.Assert(t, polledAt.After(startedAt.Add(3*time.Second)), qt.IsTrue)
--- a/core/tbfleet/schedule_test.go
+++ b/core/tbfleet/schedule_test.go
@@ -26,6 +26,7 @@
 	faultPeriod       = 20 * time.Second
 	commitDelay       = 10 * time.Millisecond
 	maxOrderDelay     = 12 * time.Second
+	maxDeliveryDelay  = 10 * time.Second
 	heartbeatInterval = time.Second
 	// usableTimeout is the time after the end of the last fault by which all workers must accept
 	// tasks.
@@ -44,13 +45,16 @@
 const (
 	workerCount      = 4
 	faultRatePerTick = 0.008
-	failureRate      = 0.15
+	// leaderCrashRatePerTick and workerRestartRatePerTick are those of schedules with takeovers, in addition.
+	leaderCrashRatePerTick   = 0.003
+	workerRestartRatePerTick = 0.02
+	failureRate              = 0.15
 	// probePrefix is the prefix of the IDs of the jobs that probe each worker after the faults.
 	probePrefix = "probe"
 )
 
 var params = tbfleet.Params{
-	Lease: 4 * time.Second, MaxLease: 6 * time.Second, MaxOrderDelay: maxOrderDelay, ClockRateBound: 0.02, PollWait: time.Second,
+	Lease: 4 * time.Second, MaxLease: 6 * time.Second, MaxOrderDelay: maxOrderDelay, MaxDeliveryDelay: maxDeliveryDelay, ClockRateBound: 0.02, PollWait: time.Second,
 	OrderTimeout: 400 * time.Millisecond, SilenceTimeout: 3500 * time.Millisecond, PollRetryDelay: 250 * time.Millisecond,
 }
 
@@ -69,6 +73,7 @@
 	now              time.Time
 	state            *tbflow.State
 	leader           *leader
+	replicas         *fakeReplicas
 	lastTerm         uint64
 	pendingProposals []proposal
 	// workers holds the current incarnation at each address. addresses holds all addresses in order
@@ -76,8 +81,8 @@
 	workersByAddress    map[string]*fakeWorker
 	addresses           []string
 	partitionsByAddress map[string]partition
-	// signedOffIDs holds the IDs of the workers that have signed off.
-	signedOffIDs map[string]bool
+	// drainedIDs holds the IDs of the workers that have announced their end.
+	drainedIDs map[string]bool
 	// lateBurstUntil is the end of a period in which many orders are executed late.
 	lateBurstUntil time.Time
 	// faultsEnd is when all faults that have begun so far are over.
@@ -88,6 +93,8 @@
 	events        []event
 	logLines      []string
 	injectsFaults bool
+	// hasTakeovers adds takeovers, restarts of workers and starts that are executed late.
+	hasTakeovers bool
 	// crashCount is the number of recorded crashes.
 	crashCount int
 	// copyRNG draws the tasks that get second runs. It is nil if none do.
@@ -98,16 +105,18 @@
 func newSimulation(t *testing.T, seed uint64) *simulation {
 	sim := &simulation{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.UnixMilli(1_700_000_000_000), state: tbflow.New(),
-		workersByAddress: map[string]*fakeWorker{}, partitionsByAddress: map[string]partition{}, signedOffIDs: map[string]bool{}, injectsFaults: true,
+		workersByAddress: map[string]*fakeWorker{}, partitionsByAddress: map[string]partition{}, drainedIDs: map[string]bool{}, injectsFaults: true,
 	}
 	sim.faultsEnd = sim.now
 	sim.checker = newChecker(sim.state, sim.failf)
 	for range workerCount {
 		sim.startWorker(sim.newID(), sim.newAddress())
 	}
-	sim.state.Apply(sim.now.UnixMilli(), tbflow.PutConfig{Config: tbflow.Config{Version: 1, Queues: []tbflow.Queue{
+	sim.replicas = newFakeReplicas(seed, sim.now)
+	config := tbflow.PutConfig{Config: tbflow.Config{Version: 1, Queues: []tbflow.Queue{
 		{Name: "q", Key: tbflow.QueueKey{Host: "h", Prefix: "/q/"}, WorkerClass: "c", MaxFailures: maxFailures, Slack: 2},
-	}}})
+	}}}
+	sim.applyCommitted(proposal{command: config, proposedAt: sim.now}, 0, false)
 	sim.electLeader()
 	return sim
 }
@@ -128,7 +137,7 @@
 	sim.logf("%s starts at %s", id, address)
 	fw := newFakeWorker(id, sim.now, 0.98+0.02*sim.rng.Float64())
 	fw.address, fw.checker = address, sim.checker
-	fw.returnedAfterSignOff = sim.signedOffIDs[id]
+	fw.returnedAfterDraining = sim.drainedIDs[id]
 	// The clock of an incarnation begins at a random reading, sometimes near that of the previous
 	// incarnation.
 	fw.clockStartMs = 1 + sim.rng.Int64N([]int64{10_000, 100_000, 10_000_000}[sim.rng.IntN(3)])
@@ -218,6 +227,9 @@
 		if sim.injectsFaults && sim.rng.Float64() < faultRatePerTick {
 			sim.injectFault()
 		}
+		if sim.injectsFaults && sim.hasTakeovers {
+			sim.injectTakeoverFaults()
+		}
 	}
 }
 
@@ -249,6 +261,11 @@
 	}
 }
 
+// TestSchedulesWithTakeovers adds takeovers and restarts of workers while many starts are executed late.
+func TestSchedulesWithTakeovers(t *testing.T) {
+	runSchedules(t, func(sim *simulation, _ uint64) { sim.hasTakeovers = true })
+}
+
 // runSchedules runs the schedules that the flags select. prepare changes each simulation first.
 func runSchedules(t *testing.T, prepare func(sim *simulation, seed uint64)) {
 	crashCount, played := 0, 0
--- a/core/tbfleet/worker_fake_test.go
+++ b/core/tbfleet/worker_fake_test.go
@@ -57,8 +57,8 @@
 	drainingAckedAt time.Time
 	// signedOff is true once the worker has signed off.
 	signedOff bool
-	// returnedAfterSignOff is true if an earlier incarnation under this ID has signed off.
-	returnedAfterSignOff bool
+	// returnedAfterDraining is true if an earlier incarnation under this ID has announced its end.
+	returnedAfterDraining bool
 	// checker checks each start, end and acknowledged end. If it is nil, nothing is checked.
 	checker *checker
 }
@@ -205,7 +205,7 @@
 }
 
 func (w *fakeWorker) poll(now time.Time, o tbfleet.Poll) tbfleet.PollAnswered {
-	a := tbfleet.PollAnswered{Worker: o.Target.ID, Incarnation: o.Target.Incarnation, LastRecordedEnd: o.LastRecordedEnd, Outcome: tbfleet.Refused}
+	a := tbfleet.PollAnswered{Worker: o.Target.ID, Incarnation: o.Target.Incarnation, LastRecordedEnd: o.LastRecordedEnd, LeaseEndMs: o.LeaseEndMs, Outcome: tbfleet.Refused}
 	if !w.acceptToken(o.Target.Token) {
 		return a
 	}
