--- a/core/tbfleet/review_test.go
+++ b/core/tbfleet/review_test.go
@@ -197,3 +197,31 @@
 		qt.Check(t, waited < maxReturnTime, qt.IsTrue, qt.Commentf("last poll answered: %v; %v", isLastPollAnswered, waited))
 	}
 }
+
+// A worker signed off, or another worker took its address, while a start was outstanding. A later leader waited for the
+// longest delay and a lease from its takeover, although no lease had been renewed there since.
+func TestNextLeaderCountsTheDelayFromTheEndOfTheWorker(t *testing.T) {
+	for name, end := range map[string]func(fx *boundFixture){
+		"signed off": func(fx *boundFixture) {
+			fx.announceEnd()
+			fx.fleet.HandleSignOff(fx.now, "w")
+		},
+		"replaced": func(fx *boundFixture) { fx.reportAt("next", "a:1") },
+	} {
+		fx := newBoundFixture()
+		fx.runUntilWaiting(t)
+		fx.run(300*time.Millisecond, true)
+		end(fx)
+		endedAt := fx.now
+		fx.run(tick, true)
+		fx.worker.crash()
+		fx.run(10*time.Second, false)
+		fx.takeOver()
+		for fx.state.IsBound(fx.ref) {
+			qt.Assert(t, fx.now.Sub(endedAt) < time.Minute, qt.IsTrue)
+			fx.run(tick, false)
+		}
+		waited := fx.now.Sub(endedAt)
+		qt.Check(t, waited < maxOrderDelay+maxReturnTime, qt.IsTrue, qt.Commentf("%s: %v", name, waited))
+	}
+}
