Count refused starts as renewals of the lease

Cause: a worker that refuses a start for lack of room takes the lease in it all the same. If a later incarnation that the leader does not know has executed an outstanding start, its run lasts longer than the leader assumed, which counted refused orders as not executed. Change: a refused order may have renewed the lease until its answer.

--- a/core/tbfleet/renewals.go
+++ b/core/tbfleet/renewals.go
@@ -5,8 +5,8 @@
 // renewals is what the leader knows of the orders to a worker that renew its lease and may still be executed. A later
 // incarnation that has executed a start may also execute such an order, and its runs then end later.
 //
-// An order that was answered is not executed again, and one that was refused or not sent is not executed at all. The
-// renewals of a worker ID outlast its incarnations and its removal.
+// An order that was answered is not executed again, and one that was not sent is not executed at all. A start that is
+// refused for lack of room renews the lease all the same. The renewals of a worker ID outlast its incarnations and its removal.
 type renewals struct {
 	// inFlight is the number of orders without a result. lastIssuedAt is when the newest order was issued.
 	inFlight     int
@@ -68,7 +68,7 @@
 	switch outcome {
 	case Unconfirmed:
 		r.executableUntil = maxTime(r.executableUntil, f.executableUntil(issuedAt, sentBefore))
-	case Accepted:
+	case Accepted, Refused:
 		// An incarnation that this leader does not know may have executed it just now.
 		r.executableUntil = maxTime(r.executableUntil, now)
 	}
