Poll silent workers that answer at short intervals until their leases may be renewed

Cause: the lease of a worker that answers again is renewed only once the end of its silence is recorded. Until then its polls renewed nothing, but were held open, so that runs could lapse, or followed each other without a pause. Change: polls of silent workers are not held open and have the pause of a recheck between them, and the lease is renewed as soon as the end of the silence is recorded.

--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -313,6 +313,10 @@
 		f.handleRecordedEnds(now, s, c.Worker, c.Incarnation)
 	case tbflow.RecordHeard:
 		delete(f.silences, c.Worker)
+		if w := f.workers[c.Worker]; w != nil {
+			// The lease may be renewed again.
+			f.reconcile(now, w)
+		}
 	case tbflow.RecordSettled:
 		for _, settled := range c.Starts {
 			f.updateOutstanding(now, s, settled.Ref)
--- a/core/tbfleet/poll.go
+++ b/core/tbfleet/poll.go
@@ -73,7 +73,7 @@
 		w.ackInFlight = true
 	}
 	timeToSettle := f.timeToSettle(now, w)
-	mayWait := w.hasAnswered && !w.Unresponsive && !w.needsRecheck() && timeToSettle >= 0
+	mayWait := w.hasAnswered && !w.Unresponsive && !w.needsRecheck() && !f.isSilent(w.ID) && timeToSettle >= 0
 	hasUnansweredStart := f.hasUnansweredStart(w)
 	if f.mayRenew(now, w) {
 		poll.LeaseEndMs = f.renewLease(now, w)
@@ -223,7 +223,7 @@
 		f.resolveMissing(now, w, a)
 	}
 	switch {
-	case w.needsRecheck():
+	case w.needsRecheck(), f.isSilent(w.ID):
 		w.nextPollAt = now.Add(recheckPause)
 	case len(a.Ended) > 0 && f.holdsAcks(w) || f.timeToSettle(a.SentAt, w) < 0:
 		// The worker answers each poll at once as long as it has ends that are not acknowledged, or if the poll does
