Record the silence of workers that have signed off or were replaced

Cause: a later leader counted the lease of a worker that had signed off, and the delay of its starts, from its takeover, although nothing had been sent there since; likewise for a worker whose address another one has taken. Change: their silence is recorded at once, as that of workers that do not answer. A poll that was in flight then does not end it.

--- a/core/tbfleet/lost_workers.go
+++ b/core/tbfleet/lost_workers.go
@@ -23,6 +23,7 @@
 	f.output.LogEvents = append(f.output.LogEvents, LogEvent{Message: "worker signs off", Worker: id, Inputs: w.leaseLogInputs(now)})
 	f.output.Commands = append(f.output.Commands, tbflow.RecordSignedOff{Worker: id, Incarnation: w.Incarnation})
 	w.registered, w.signedOff = false, true
+	f.proposeSilence(id)
 	f.reconcile(now, w)
 }
 
@@ -59,6 +60,7 @@
 	w.replaced, w.registered = true, false
 	w.leaseExpiresAt = now
 	f.giveUpRuns(now, w, "another worker answers at its address")
+	f.proposeSilence(w.ID)
 }
 
 // giveUpRuns gives up the runs of a worker that was replaced or whose lease has expired.
--- a/core/tbfleet/poll.go
+++ b/core/tbfleet/poll.go
@@ -203,7 +203,9 @@
 	if a.LeaseEndMs > 0 {
 		w.renewalAnsweredFrom = a.SentAt
 	}
-	f.endSilence(w.ID)
+	if w.registered {
+		f.endSilence(w.ID)
+	}
 	w.lastAckedEnd = max(w.lastAckedEnd, a.LastRecordedEnd)
 	if a.LastRecordedEnd > 0 {
 		w.ackInFlight = false
--- a/core/tbfleet/silence.go
+++ b/core/tbfleet/silence.go
@@ -22,9 +22,8 @@
 // proposeSilences proposes to record the silence of workers, and the end of silences that nothing depends on.
 func (f *Fleet) proposeSilences(now time.Time) {
 	for _, w := range f.sortedWorkers {
-		if w.Unresponsive && now.Sub(w.LastHeardAt) > silenceAfter && !f.isSilent(w.ID) && f.dependsOnLease(w.ID) {
-			f.silences[w.ID] = &silence{}
-			f.output.Commands = append(f.output.Commands, tbflow.RecordSilent{Worker: w.ID})
+		if w.Unresponsive && now.Sub(w.LastHeardAt) > silenceAfter {
+			f.proposeSilence(w.ID)
 		}
 	}
 	for id := range f.silences {
@@ -34,6 +33,16 @@
 	}
 }
 
+// proposeSilence proposes to record that a worker gets no starts and no renewals from now on, if anything depends on its
+// lease.
+func (f *Fleet) proposeSilence(id string) {
+	if f.isSilent(id) || !f.dependsOnLease(id) {
+		return
+	}
+	f.silences[id] = &silence{}
+	f.output.Commands = append(f.output.Commands, tbflow.RecordSilent{Worker: id})
+}
+
 // dependsOnLease reports whether a task may have to wait for the end of the lease of a worker.
 func (f *Fleet) dependsOnLease(id string) bool {
 	w := f.workers[id]
