Count the silence of a worker from its last answered poll or the takeover

Cause: silences were counted from the last contact of any kind. A new leader takes that to be in the past, so that one failed poll recorded a silence, and a worker whose reports arrived was never recorded as silent, although it got no renewals. Change: they count from the last answered poll of this leader or its takeover. The comments of TakeOver and OutstandingTimes name silences.

--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -44,7 +44,9 @@
 	renewals map[string]*renewals
 	// silences holds the silences of workers, by ID.
 	silences map[string]*silence
-	output   Output
+	// takenOverAt is the time of the takeover.
+	takenOverAt time.Time
+	output      Output
 }
 
 // Worker is the leader's view of one incarnation of a worker.
@@ -73,6 +75,8 @@
 	// poll that was not superseded.
 	Unresponsive bool
 
+	// answeredAt is when this incarnation last answered a poll of this leader, or zero.
+	answeredAt time.Time
 	// registered is true from the first report until the worker signs off or is replaced. A
 	// takeover sets registered without a report if the worker's address is recorded.
 	registered bool
@@ -155,10 +159,12 @@
 // TakeOver loads the recorded workers and the runs that the state assigns to workers.
 //
 // A run that no worker has listed may still be in flight as a start, and a later incarnation may
-// execute that start. The earlier leader may have sent orders that renew the lease until now. The
-// waits for such a run therefore begin now, not at the start. An outstanding start was sent before
-// this replica applied its record, and its longest delay is counted from then.
+// execute that start. The earlier leader may have sent orders that renew the lease until now, or
+// until it recorded the silence of the worker. The waits for such a run therefore begin then, not
+// at the start. An outstanding start was sent before this replica applied its record, and its
+// longest delay is counted from then.
 func (f *Fleet) TakeOver(now time.Time, s *tbflow.State, applied *OutstandingTimes) {
+	f.takenOverAt = now
 	for id := range s.Silent {
 		f.silences[id] = &silence{}
 	}
--- a/core/tbfleet/outstanding_times.go
+++ b/core/tbfleet/outstanding_times.go
@@ -7,7 +7,7 @@
 	"tamarackbarrow/core/tbflow"
 )
 
-// OutstandingTimes holds when one replica applied the records of outstanding starts, on its own clock. If the replica
+// OutstandingTimes holds when one replica applied the records of outstanding starts and of silences, on its own clock. If the replica
 // takes over, it counts the longest delay of these starts from then. This is not too early, however late the replica is:
 // a start is issued before its record is proposed, and a record is applied after it was proposed.
 type OutstandingTimes struct {
--- a/core/tbfleet/poll.go
+++ b/core/tbfleet/poll.go
@@ -203,6 +203,7 @@
 	if a.LeaseEndMs > 0 {
 		w.renewalAnsweredFrom = a.SentAt
 	}
+	w.answeredAt = now
 	if w.registered {
 		f.endSilence(w.ID)
 	}
--- a/core/tbfleet/silence.go
+++ b/core/tbfleet/silence.go
@@ -6,7 +6,7 @@
 	"tamarackbarrow/core/tbflow"
 )
 
-// silenceAfter is the time without contact after which a worker that does not answer is recorded as silent. Most workers
+// silenceAfter is the time without an answered poll after which a worker that does not answer is recorded as silent. Most workers
 // that are slow answer earlier.
 const silenceAfter = 2 * time.Second
 
@@ -22,7 +22,7 @@
 // proposeSilences proposes to record the silence of workers, and the end of silences that nothing depends on.
 func (f *Fleet) proposeSilences(now time.Time) {
 	for _, w := range f.sortedWorkers {
-		if w.Unresponsive && now.Sub(w.LastHeardAt) > silenceAfter {
+		if w.Unresponsive && now.Sub(maxTime(w.answeredAt, f.takenOverAt)) > silenceAfter {
 			f.proposeSilence(w.ID)
 		}
 	}
--- a/core/tbfleet/silence_test.go
+++ b/core/tbfleet/silence_test.go
@@ -110,3 +110,32 @@
 		qt.Check(t, isStart, qt.IsFalse)
 	}
 }
+
+// Each failed poll of a new leader recorded the silence of a worker at once, as if the worker had been silent before.
+func TestNewLeaderGivesWorkersTimeToAnswer(t *testing.T) {
+	fx := newBoundFixtureOf(true)
+	fx.runUntilWaiting(t)
+	fx.run(300*time.Millisecond, true)
+	fx.startAgain()
+	fx.takeOver()
+	fx.run(silenceAfter-100*time.Millisecond, false)
+	qt.Check(t, fx.state.Silent, qt.HasLen, 0)
+	fx.run(maxSilenceDelay-silenceAfter+200*time.Millisecond, false)
+	qt.Check(t, fx.state.Silent, qt.HasLen, 1)
+}
+
+// silenceAfter is the time without an answered poll after which a worker is recorded as silent.
+const silenceAfter = 2 * time.Second
+
+// A worker whose reports arrive, but that no poll reaches, gets no renewals either. Its silence was not recorded.
+func TestSilenceIsRecordedAlthoughReportsArrive(t *testing.T) {
+	fx := newBoundFixtureOf(true)
+	fx.runUntilWaiting(t)
+	fx.run(300*time.Millisecond, true)
+	fx.startAgain()
+	for range 3 {
+		fx.run(time.Second, false)
+		fx.sendReport()
+	}
+	qt.Check(t, fx.state.Silent["w"], qt.IsTrue)
+}
