Count the delay of unanswered changes of speed from their sending

Cause: the time of sending of changes of speed reached the fleet and was not used, so that a speed was ordered again for up to 3.8 s longer than needed. Change: as for starts and polls. Result: the tests of core/tbfleet pass; the time was not measured in a play.

--- a/core/tbfleet/speed.go
+++ b/core/tbfleet/speed.go
@@ -70,6 +70,6 @@
 			Message: "pace not answered", Worker: w.ID, Ref: a.Ref, Run: a.Run, Inputs: []any{"percent", a.Percent, "ordered", run.Speed},
 		})
 		w.nextResendAt = now
-		run.unansweredSpeeds = append(run.unansweredSpeeds, unansweredSpeed{percent: a.Percent, executableUntil: now.Add(f.params.MaxOrderDelay)})
+		run.unansweredSpeeds = append(run.unansweredSpeeds, unansweredSpeed{percent: a.Percent, executableUntil: f.executableUntil(now, a.SentBefore)})
 	}
 }
