--- a/core/tbfleet/leader_fake_test.go
+++ b/core/tbfleet/leader_fake_test.go
@@ -362,7 +362,7 @@
 		return fmt.Sprint("settled ", c.Starts)
 	case tbflow.RecordSilent:
 		return c.Worker + " 4"
-	case tbflow.RecordHeard:
+	case tbflow.RecordSilenceEnded:
 		return c.Worker + " 5"
 	case tbflow.RecordSignedOff:
 		return fmt.Sprintf("%s 3 %020d", c.Worker, c.Incarnation)
--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -311,7 +311,7 @@
 			f.updateOutstanding(now, s, r.Ref)
 		}
 		f.handleRecordedEnds(now, s, c.Worker, c.Incarnation)
-	case tbflow.RecordHeard:
+	case tbflow.RecordSilenceEnded:
 		delete(f.silences, c.Worker)
 		if w := f.workers[c.Worker]; w != nil {
 			// The lease may be renewed again.
--- a/core/tbfleet/outstanding_times.go
+++ b/core/tbfleet/outstanding_times.go
@@ -41,7 +41,7 @@
 	switch c := c.(type) {
 	case tbflow.RecordSilent:
 		t.silentSince[c.Worker] = now
-	case tbflow.RecordHeard:
+	case tbflow.RecordSilenceEnded:
 		delete(t.silentSince, c.Worker)
 	}
 	if len(t.byTask) == 0 && len(s.Outstanding) == 0 {
--- a/core/tbfleet/renewals_test.go
+++ b/core/tbfleet/renewals_test.go
@@ -159,7 +159,7 @@
 	qt.Assert(t, fx.state.IsBound(fx.ref), qt.IsTrue)
 	qt.Assert(t, fx.worker.running, qt.HasLen, 1)
 	isNotHeard := func(c tbflow.Command) bool {
-		_, isHeard := c.(tbflow.RecordHeard)
+		_, isHeard := c.(tbflow.RecordSilenceEnded)
 		return !isHeard
 	}
 	answersFrom := fx.now
--- a/core/tbfleet/silence.go
+++ b/core/tbfleet/silence.go
@@ -54,6 +54,6 @@
 func (f *Fleet) endSilence(id string) {
 	if s := f.silences[id]; s != nil && !s.isEnding {
 		s.isEnding = true
-		f.output.Commands = append(f.output.Commands, tbflow.RecordHeard{Worker: id})
+		f.output.Commands = append(f.output.Commands, tbflow.RecordSilenceEnded{Worker: id})
 	}
 }
--- a/core/tbfleet/silence_test.go
+++ b/core/tbfleet/silence_test.go
@@ -69,7 +69,7 @@
 		fx.now = fx.now.Add(tick)
 		fx.fleet.Tick(fx.now)
 		for _, c := range fx.takeCommands() {
-			if _, ok := c.(tbflow.RecordHeard); ok {
+			if _, ok := c.(tbflow.RecordSilenceEnded); ok {
 				heard = append(heard, c)
 			}
 		}
@@ -87,7 +87,7 @@
 		step()
 	}
 	qt.Check(t, renewals, qt.Equals, 0)
-	qt.Assert(t, heard, qt.DeepEquals, []tbflow.Command{tbflow.RecordHeard{Worker: "w"}})
+	qt.Assert(t, heard, qt.DeepEquals, []tbflow.Command{tbflow.RecordSilenceEnded{Worker: "w"}})
 	w := fx.fleet.Worker("w")
 	qt.Check(t, fx.fleet.Usable(w, fx.now), qt.IsFalse)
 	fx.apply(heard[0])
--- a/core/tbflow/silence.go
+++ b/core/tbflow/silence.go
@@ -5,11 +5,11 @@
 // silent workers: they get no starts and no renewals of their leases.
 
 // RecordSilent records that a worker is silent. Neither its incarnation nor a later one gets a start or a renewal of the
-// lease until RecordHeard is applied.
+// lease until RecordSilenceEnded is applied.
 type RecordSilent struct{ Worker string }
 
-// RecordHeard records that a worker is not silent any more, or that nothing depends on its lease.
-type RecordHeard struct{ Worker string }
+// RecordSilenceEnded records that a worker is not silent any more, or that nothing depends on its lease.
+type RecordSilenceEnded struct{ Worker string }
 
-func (RecordSilent) isCommand() {}
-func (RecordHeard) isCommand()  {}
+func (RecordSilent) isCommand()       {}
+func (RecordSilenceEnded) isCommand() {}
--- a/core/tbflow/state.go
+++ b/core/tbflow/state.go
@@ -228,7 +228,7 @@
 	case RecordSilent:
 		s.Silent[c.Worker] = true
 		return OK
-	case RecordHeard:
+	case RecordSilenceEnded:
 		delete(s.Silent, c.Worker)
 		return OK
 	case RecordSignedOff:
--- a/io/tbflowcodec/codec.go
+++ b/io/tbflowcodec/codec.go
@@ -25,7 +25,7 @@
 		tbflow.RecordUnanswered{}, tbflow.RecordSettled{}, tbflow.RecordSignedOff{},
 		tbflow.SetEvacuation{},
 		tbflow.AssignCopies{},
-		tbflow.RecordSilent{}, tbflow.RecordHeard{},
+		tbflow.RecordSilent{}, tbflow.RecordSilenceEnded{},
 	}
 	leaderRequestTypes = []any{
 		tbcontrol.SubmitRequested{}, tbcontrol.CancelRequested{}, tbcontrol.JobStateRequested{}, tbcontrol.QueueLengthRequested{},
--- a/io/tbflowcodec/codec_test.go
+++ b/io/tbflowcodec/codec_test.go
@@ -40,7 +40,7 @@
 		tbflow.RecordUnanswered{Worker: "w", Incarnation: 5, Address: "a:1", Runs: []tbflow.RunRef{{Ref: ref, Run: 4}}},
 		tbflow.RecordSettled{Starts: []tbflow.SettledStart{{Ref: ref, Start: tbflow.OutstandingStart{Run: 4, Worker: "w", Incarnation: 5, Address: "a:1"}}}},
 		tbflow.AssignCopies{Assignments: []tbflow.Assignment{{Ref: ref, Run: 4, Worker: "w", Incarnation: 5}}},
-		tbflow.RecordSilent{Worker: "w"}, tbflow.RecordHeard{Worker: "w"},
+		tbflow.RecordSilent{Worker: "w"}, tbflow.RecordSilenceEnded{Worker: "w"},
 	} {
 		decoded, err := DecodeCommand(EncodeCommand(c))
 		qt.Assert(t, err, qt.IsNil)
