Take starts that are sent after their timeout for late ones in the schedules

Cause: the schedules hold some orders back before they are sent. Change: the checker takes it for late. What it checks of late starts is unchanged.

--- a/core/tbfleet/network_fake_test.go
+++ b/core/tbfleet/network_fake_test.go
@@ -70,7 +70,8 @@
 		return
 	}
 	late := sim.injectsFaults && sim.rng.Float64() < sim.lateRate(c)
-	answerLost := late || sentAt.Sub(issuedAt) >= timeout || sim.injectsFaults && sim.rng.Float64() < lostAnswerRate
+	isHeld := sentAt.Sub(issuedAt) >= timeout
+	answerLost := late || isHeld || sim.injectsFaults && sim.rng.Float64() < lostAnswerRate
 	if late {
 		delay += 2*time.Second + time.Duration(sim.rng.Int64N(int64(maxDeliveryDelay-2*time.Second)-int64(10*time.Millisecond)))
 	} else if sim.partitionFrom(target.Address, l).losesOrders {
@@ -87,7 +88,7 @@
 	}
 	sim.schedule(delay, func() {
 		fw := sim.workersByAddress[target.Address]
-		a := sim.deliver(fw, c, late)
+		a := sim.deliver(fw, c, late || isHeld)
 		if answerLost {
 			return
 		}
