--- a/core/tbfleet/outstanding_times.go
+++ b/core/tbfleet/outstanding_times.go
@@ -7,9 +7,10 @@
 	"tamarackbarrow/core/tbflow"
 )
 
-// OutstandingTimes holds when one replica applied the records of outstanding starts and of silences, on its own clock. If the replica
-// takes over, it counts the longest delay of these starts from then. This is not too early, however late the replica is:
-// a start is issued before its record is proposed, and a record is applied after it was proposed.
+// OutstandingTimes holds when one replica applied the records of outstanding starts and of silences, on its own clock.
+// If the replica takes over, it counts the longest delay of these starts, and of renewals for silent workers, from then.
+// This is not too early, however late the replica is: a start is issued before its record is proposed, no renewal is
+// issued after the record of a silence is proposed, and a record is applied after it was proposed.
 type OutstandingTimes struct {
 	byTask map[tbflow.TaskRef][]appliedStart
 	// silentSince holds when the silence of each silent worker was applied.
--- a/core/tbfleet/renewals.go
+++ b/core/tbfleet/renewals.go
@@ -6,7 +6,8 @@
 // incarnation that has executed a start may also execute such an order, and its runs then end later.
 //
 // An order that was answered is not executed again, and one that was not sent is not executed at all. A start that is
-// refused for lack of room renews the lease all the same. The renewals of a worker ID outlast its incarnations and its removal.
+// refused for lack of room renews the lease all the same. The renewals of a worker ID outlast its incarnations and its
+// removal.
 type renewals struct {
 	// inFlight is the number of orders without a result. lastIssuedAt is when the newest order was issued.
 	inFlight     int
