--- a/core/tbcontrol/late_leader_test.go
+++ b/core/tbcontrol/late_leader_test.go
@@ -76,7 +76,7 @@
 }
 
 // A leader that is late hears its followers in time all the same. Each new leader would have to poll all workers and
-// count their leases anew, and would be as late.
+// count their leases again, and would be as late.
 func TestLateLeaderKeepsItsLeadership(t *testing.T) {
 	for _, test := range []struct {
 		workers  int
--- a/core/tbfleet/outstanding_times_test.go
+++ b/core/tbfleet/outstanding_times_test.go
@@ -24,7 +24,7 @@
 	qt.Check(t, fx.mayStartAt("other"), qt.IsTrue)
 }
 
-// Each leader that took over counted the longest delay of a start anew from its takeover.
+// Each leader that took over counted the longest delay of a start again from its takeover.
 func TestNextLeadersCountDelayFromRecordOfStart(t *testing.T) {
 	fx := newBoundFixture()
 	fx.runUntilWaiting(t)
--- a/core/tbnode/tick_schedule.go
+++ b/core/tbnode/tick_schedule.go
@@ -7,7 +7,7 @@
 
 // TickSchedule says when a node has to be ticked next. The first tick of the zero TickSchedule is due at once.
 //
-// An event loop that waits for events or a timer, and sets the timer anew after each event, never ticks while events
+// An event loop that waits for events or a timer, and resets the timer after each event, never ticks while events
 // are always queued. A TickSchedule is therefore asked after the events of each pass, and events do not put a due tick
 // off.
 type TickSchedule struct {
