--- a/review/_stand3/cases.go
+++ b/review/_stand3/cases.go
@@ -159,7 +159,8 @@
 	return nil
 }
 
-// attemptsCase: a new configuration lowers max_attempts while a task that has failed as often already is waiting.
+// attemptsCase: a route is removed and added again with fewer attempts, while a task of its queue that has failed as often
+// already is waiting.
 func attemptsCase(s *scene) error {
 	label := func(i int) string {
 		if i == 0 {
@@ -170,6 +171,7 @@
 	if err := s.begin(6, 32000, 128000, label, baseConfig(1)); err != nil {
 		return err
 	}
+	// The task fails each time, and waits for a while after each failure, as one machine has the label that it needs.
 	j := &job{ID: newID(), Spec: "hopeless", Steps: []step{{Count: 1, CPU: 2000, MemMB: 4000, EstimatedMs: 500, Requirements: "b", work: time.Hour, failAfter: 700 * time.Millisecond}}}
 	if err := s.c.submit(s.w, "batch.example", "/batch/", j); err != nil {
 		return err
@@ -179,10 +181,13 @@
 	}
 	time.Sleep(300 * time.Millisecond)
 	if s.trouble {
-		cfg := baseConfig(2)
-		cfg.Routes[1].MaxAttempts = 2
-		if err := s.c.putConfig(cfg); err != nil {
-			return err
+		removed, added := baseConfig(2), baseConfig(4)
+		removed.Routes = append(removed.Routes[:1:1], removed.Routes[2:]...)
+		added.Routes[1].MaxAttempts = 2
+		for _, cfg := range []config{removed, added} {
+			if err := s.c.putConfig(cfg); err != nil {
+				return err
+			}
 		}
 	}
 	state, idle := s.finish(j, &j.Steps[0], 40*time.Second)
