review: keep cases 11, 12, 14 and 15 inside the share of runners that the site file allows

One of 8 runners is 0.125 of them, below 0.14. In case 12 the runner is lost for good: a machine that came back empty took the large job in two of five runs.

--- a/review/_stand3/cases.go
+++ b/review/_stand3/cases.go
@@ -8,7 +8,7 @@
 
 // gangCase: the runner of a member of a gang crashes once and is back after 2 s.
 func gangCase(s *scene) error {
-	if err := s.begin(6, 32000, 128000, sameLabel, baseConfig(1)); err != nil {
+	if err := s.begin(8, 32000, 128000, sameLabel, baseConfig(1)); err != nil {
 		return err
 	}
 	j := &job{ID: newID(), Spec: "gang", Steps: []step{{Count: 4, CPU: 8000, MemMB: 8000, EstimatedMs: 8000, Gang: true, Checkpointing: true, AntiAffinity: 1, work: 8 * time.Second}}}
@@ -57,13 +57,13 @@
 	return nil
 }
 
-// starvedCase: the runner of a small job crashes, so that the job is too late to be of use. A large job of the same
-// queue, which needs a whole machine, waits for one.
+// starvedCase: the runner of a small job is lost for good, so that the job is too late to be of use. A large job of the
+// same queue, which needs a whole machine, waits for one.
 func starvedCase(s *scene) error {
-	if err := s.begin(6, 32000, 128000, sameLabel, baseConfig(1)); err != nil {
+	if err := s.begin(8, 32000, 128000, sameLabel, baseConfig(1)); err != nil {
 		return err
 	}
-	lasting := &job{ID: newID(), Spec: "lasting", Steps: []step{{Count: 6, CPU: 1000, MemMB: 1000, EstimatedMs: 1000, LongRunning: true, AntiAffinity: 1}}}
+	lasting := &job{ID: newID(), Spec: "lasting", Steps: []step{{Count: 8, CPU: 1000, MemMB: 1000, EstimatedMs: 1000, LongRunning: true, AntiAffinity: 1}}}
 	if err := s.c.submit(s.w, "quick.example", "/last/", lasting); err != nil {
 		return err
 	}
@@ -84,8 +84,7 @@
 		for _, m := range s.w.machines {
 			for task := range m.cur.runs {
 				if task[:16] == small.ID {
-					m.crash("power")
-					m.reboot(crashTime, 0)
+					m.crash("lost for good")
 				}
 			}
 		}
@@ -106,7 +105,7 @@
 		}
 		return "a"
 	}
-	if err := s.begin(4, 32000, 128000, label, baseConfig(1)); err != nil {
+	if err := s.begin(8, 32000, 128000, label, baseConfig(1)); err != nil {
 		return err
 	}
 	m := s.w.machines[0]
@@ -136,7 +135,7 @@
 		}
 		return "a"
 	}
-	if err := s.begin(6, 32000, 128000, label, baseConfig(1)); err != nil {
+	if err := s.begin(8, 32000, 128000, label, baseConfig(1)); err != nil {
 		return err
 	}
 	st := step{Count: 1, CPU: 4000, MemMB: 8000, EstimatedMs: 4000, Requirements: "b", work: 4 * time.Second}
@@ -168,7 +167,7 @@
 		}
 		return "a"
 	}
-	if err := s.begin(6, 32000, 128000, label, baseConfig(1)); err != nil {
+	if err := s.begin(8, 32000, 128000, label, baseConfig(1)); err != nil {
 		return err
 	}
 	// The task fails each time, and waits for a while after each failure, as one machine has the label that it needs.
--- a/review/_stand3/runner.go
+++ b/review/_stand3/runner.go
@@ -23,9 +23,8 @@
 	checkpointInterval = time.Second
 	restoreTime        = 100 * time.Millisecond
 	longStartup        = 300 * time.Millisecond
-	// contactTime is contact_ms, and crashTime how long a machine is away after a loss of power.
+	// contactTime is contact_ms.
 	contactTime = 3 * time.Second
-	crashTime   = 4500 * time.Millisecond
 )
 
 // step is a step of a job, as the client sends it, with what the task does in this world.
