--- a/review/_stand3/cases.go
+++ b/review/_stand3/cases.go
@@ -196,6 +196,37 @@
 	return nil
 }
 
+// fillCase: the one machine with more processors than a task that fills asks for is lost for good.
+func fillCase(s *scene) error {
+	s.w.cpuOf = func(i int) int64 {
+		if i == 0 {
+			return 48000
+		}
+		return 32000
+	}
+	if err := s.begin(8, 32000, 128000, sameLabel, baseConfig(1)); err != nil {
+		return err
+	}
+	j := &job{ID: newID(), Spec: "fill", Steps: []step{{Count: 1, CPU: 40000, MemMB: 8000, EstimatedMs: 6000, Fills: true, Image: "img-1", work: 6 * time.Second}}}
+	if err := s.c.submit(s.w, "batch.example", "/batch/", j); err != nil {
+		return err
+	}
+	if !s.waitFor(10*time.Second, func() bool { return s.w.running(j.ID) > 0 }) {
+		return fmt.Errorf("the job has not begun")
+	}
+	time.Sleep(2 * time.Second)
+	if s.trouble {
+		s.w.mu.Lock()
+		s.w.machines[0].crash("lost for good")
+		s.w.mu.Unlock()
+	}
+	state, idle := s.finish(j, &j.Steps[0], 50*time.Second)
+	if state != "completed" && idle > idleTime {
+		s.rec.broken("LOST: the job is %s; nothing of it ran for %.1f s, with room for it and under half of the processors in use", state, idle.Seconds())
+	}
+	return nil
+}
+
 // bigGangCase: a gang of 300 tasks, for which there is room.
 func bigGangCase(s *scene) error {
 	if err := s.begin(12, 32000, 128000, sameLabel, baseConfig(1)); err != nil {
--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -18,7 +20,7 @@
 }
 
 var cases = map[string]func(s *scene) error{
-	"gang": gangCase, "attempts": attemptsCase, "deadly": deadlyCase, "starved": starvedCase, "kind": kindCase, "biggang": bigGangCase,
+	"gang": gangCase, "attempts": attemptsCase, "deadly": deadlyCase, "starved": starvedCase, "kind": kindCase, "biggang": bigGangCase, "fill": fillCase,
 }
 
 func main() {
@@ -51,6 +53,14 @@
 		return 2
 	}
 	defer c.close()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-stop
+		c.close()
+		os.RemoveAll(dir)
+		os.Exit(2)
+	}()
 	s := &scene{c: c, w: newWorld(rec, c), rec: rec, trouble: os.Getenv("TROUBLE") != "0"}
 	defer s.w.close()
 	if err := c.startAll(); err != nil {
--- a/review/_stand3/runner.go
+++ b/review/_stand3/runner.go
@@ -41,6 +41,8 @@
 	Speculative   bool   `json:"speculative,omitempty"`
 	LongRunning   bool   `json:"long_running,omitempty"`
 	Image         string `json:"image,omitempty"`
+	// Fills is true for a task whose cpu is not counted against the capacity of a runner.
+	Fills bool `json:"utilization,omitempty"`
 
 	work time.Duration
 	// failAfter, if above 0, is the work after which each run fails.
@@ -49,6 +51,14 @@
 	crashAfter time.Duration
 }
 
+// countedCPU is what a task takes of a runner's capacity.
+func (s *step) countedCPU() int64 {
+	if s.Fills {
+		return 0
+	}
+	return s.CPU
+}
+
 type job struct {
 	ID           string
 	Spec         string
@@ -141,8 +151,10 @@
 	onEnd     func(r *runner, x *run, how string)
 	// backAfter is how long a machine is away after a task has crashed it.
 	backAfter time.Duration
-	client    *http.Client
-	closed    bool
+	// cpuOf, if set, gives the processors of a machine by its index.
+	cpuOf  func(i int) int64
+	client *http.Client
+	closed bool
 }
 
 func newWorld(rec *recorder, c *cluster) *world {
@@ -162,6 +174,9 @@
 func (w *world) addMachines(n int, cpu, mem int64, label func(i int) string) error {
 	for i := range n {
 		m := &machine{w: w, index: i, address: fmt.Sprintf("%s.%d:%d", w.c.prefix, 101+i, w.c.p.front), rack: fmt.Sprintf("r%d", i/2), label: label(i), cpu: cpu, mem: mem}
+		if w.cpuOf != nil {
+			m.cpu = w.cpuOf(i)
+		}
 		w.machines = append(w.machines, m)
 		w.mu.Lock()
 		err := m.boot(0)
@@ -385,9 +400,9 @@
 		w.rec.broken("UNASKED: runner %s was told to start %s, which no client sent", r.id, o.Task)
 		return 400, ""
 	}
-	cpu, mem := st.CPU, st.MemMB
+	cpu, mem := st.countedCPU(), st.MemMB
 	for _, x := range r.runs {
-		cpu, mem = cpu+x.step.CPU, mem+x.step.MemMB
+		cpu, mem = cpu+x.step.countedCPU(), mem+x.step.MemMB
 	}
 	if cpu > r.m.cpu || mem > r.m.mem {
 		return 409, "room"
@@ -667,7 +682,7 @@
 		}
 		all += m.cpu
 		for _, x := range m.cur.runs {
-			used += x.step.CPU
+			used += x.step.countedCPU()
 		}
 	}
 	return float64(used) / float64(max(1, all))
@@ -682,11 +697,11 @@
 		}
 		cpu, mem := m.cpu, m.mem
 		for _, x := range m.cur.runs {
-			cpu, mem = cpu-x.step.CPU, mem-x.step.MemMB
+			cpu, mem = cpu-x.step.countedCPU(), mem-x.step.MemMB
 		}
 		fits := 1 << 20
-		if st.CPU > 0 {
-			fits = min(fits, int(max(0, cpu)/st.CPU))
+		if n := st.countedCPU(); n > 0 {
+			fits = min(fits, int(max(0, cpu)/n))
 		}
 		if st.MemMB > 0 {
 			fits = min(fits, int(max(0, mem)/st.MemMB))
