--- a/review/_stand3/cases.go
+++ b/review/_stand3/cases.go
@@ -37,11 +37,13 @@
 		calmFrom = time.Now().Add(2*time.Second + contactTime + gangTimeout)
 	}
 	alone := 0
+	s.w.mu.Lock()
 	s.w.onEnd = func(_ *runner, _ *run, how string) {
 		if how == "alone" && time.Now().After(calmFrom) {
 			alone++
 		}
 	}
+	s.w.mu.Unlock()
 	state := s.follow(j, 60*time.Second, func() {})
 	s.w.mu.Lock()
 	defer s.w.mu.Unlock()
@@ -198,6 +200,7 @@
 
 // fillCase: the one machine with more processors than a task that fills asks for is lost for good.
 func fillCase(s *scene) error {
+	// No machine has been added yet.
 	s.w.cpuOf = func(i int) int64 {
 		if i == 0 {
 			return 48000
