Start useless short work wherever it finds room

Cause: with predictedAdmission, a short step that was too late to be of use kept off every worker that a waiting useful step could have used if the worker were empty. It was not asked whether the worker would ever be empty, how many workers the useful step could use, or until when. One task that waits for a whole worker kept useless work off the class without end. A check whether the useful step can ever fit mends the case only: gangs, and steps that find room later, have the same effect.

Change: useless work no longer gives way. It still starts after all other work of its priority.

--- a/core/tbassign/admission_order_test.go
+++ b/core/tbassign/admission_order_test.go
@@ -76,6 +76,42 @@
 	}
 }
 
+// Guards against useless short work that waits beside free workers, because a useful step waits for a whole worker and
+// long-running tasks stay on each. Short steps that find room later, and gangs, used to have the same effect.
+func TestUselessWorkStartsBesideUsefulWorkThatWaits(t *testing.T) {
+	for name, useful := range map[string]tbflow.Step{
+		"whole worker": {Count: 1, Need: tbresource.Amount{MilliProcessors: 32_000, MemoryMB: 4000}, Estimate: 20 * time.Second},
+		"all memory":   {Count: 1, Need: tbresource.Amount{MilliProcessors: 1000, MemoryMB: 125_000}, Estimate: 20 * time.Second},
+		"gang":         {Count: 8, Need: tbresource.Amount{MilliProcessors: 20_000, MemoryMB: 1000}, Estimate: 20 * time.Second, Gang: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newReplay(t, 8, Features{PredictedAdmission: true, FairShares: true})
+			each := longRunningStep(8, "a")
+			each.Need, each.SpreadLimit = resources(1), 1
+			if name == "gang" {
+				// One worker is too full for a member.
+				r.submit("watch", "full", longRunningStep(3, "a"))
+				r.advance(replayTick)
+			}
+			r.submit("watch", "each", each)
+			r.advance(replayTick)
+			r.submit("short", "useless", tbflow.Step{Count: 1, Need: resources(2), Estimate: 3 * time.Second})
+			r.advance(replayTick)
+			lost := r.runs[tbflow.TaskRef{Job: "useless"}]
+			r.submit("short", "useful", useful)
+			// The worker is silent until its lease has expired.
+			delete(r.ends, lost.Ref)
+			for range 15 * 20 {
+				r.advance(replayTick)
+			}
+			r.commit(tbflow.RecordEnds{Worker: lost.Worker, Incarnation: 1, Ends: []tbflow.End{{Ref: lost.Ref, Run: lost.Run, Kind: tbflow.EndStopped}}})
+			r.advance(replayTick)
+			qt.Check(t, r.state.Jobs["useless"].AssignedTasks(0, 0), qt.Equals, 1)
+			qt.Check(t, r.state.Jobs["useful"].AssignedTasks(0, 0), qt.Equals, 0)
+		})
+	}
+}
+
 // A job whose tasks need nothing was asked for on a busy class, and the decision never ended.
 func TestJobWithoutNeedIsDecided(t *testing.T) {
 	r := newReplay(t, 1, Features{PredictedAdmission: true})
--- a/core/tbassign/place.go
+++ b/core/tbassign/place.go
@@ -365,7 +365,7 @@
 			return false
 		}
 	}
-	return need.Fits(r.free) && !p.givesWay(r, w) && !p.takesReservedRoom(r, w, need) && !p.takesNeededSlot(r, w, need) && satisfiesConstraints(w.step, r.worker, r.spreadCounts[w.stepRef()])
+	return need.Fits(r.free) && !p.takesReservedRoom(r, w, need) && !p.takesNeededSlot(r, w, need) && satisfiesConstraints(w.step, r.worker, r.spreadCounts[w.stepRef()])
 }
 
 // withoutProcessors returns what a best-effort task takes from other tasks: it uses the processors that they
--- a/core/tbassign/plan.go
+++ b/core/tbassign/plan.go
@@ -51,7 +51,6 @@
 			continue
 		}
 		runs := p.place(step, n)
-		p.noteLeft(step, len(runs))
 		if plan.Runs = append(plan.Runs, runs...); step.step.BestEffort {
 			bestEffortRuns += len(runs)
 		}
@@ -98,8 +97,6 @@
 	unreservable    map[string][]tbresource.Amount
 	// assignedShortTasks is the number of assigned short tasks of each class.
 	assignedShortTasks map[string]int
-	// usefulLeft holds, by class, steps of useful short work that have found no room (see givesWay).
-	usefulLeft map[string][]*tbflow.Step
 	// closedWorkers is the number of workers that the plan has closed to other tasks than a suspect of
 	// crashes.
 	closedWorkers int
