Keep failed searches for best-effort work apart by worker class

Cause: a plan that has found no worker for a best-effort task skips steps of the same image that need as much. The result was kept by image alone, so that a full class kept work of the same image from the idle workers of another class, for as long as its own backlog lasted.

Change: the result is kept by class and image.

Measured: TestFullClassDoesNotHoldBestEffortWorkOfAnotherClass fails before and passes after.

--- a/core/tbassign/assign_test.go
+++ b/core/tbassign/assign_test.go
@@ -500,3 +500,23 @@
 	apply(tbflow.PutConfig{})
 	qt.Check(t, b.planAndCommit(), qt.HasLen, 1)
 }
+
+// Guards against a full class that keeps best-effort work of the same image from idle workers of another class.
+func TestFullClassDoesNotHoldBestEffortWorkOfAnotherClass(t *testing.T) {
+	r := newReplay(t, 1, Features{})
+	r.fleet.HandleReport(r.now, tbfleet.Report{
+		ID: "other", Address: "other", Incarnation: 1, Class: "d", ClockMs: 1, Sequence: 1, Capacity: tbresource.Amount{MilliProcessors: 32_000, MemoryMB: 125_000},
+	})
+	config := tbflow.Config{Version: 2, Queues: append(r.state.Config.Queues, tbflow.Queue{
+		Name: "other", Key: tbflow.QueueKey{Host: "h", Prefix: "/other/"}, WorkerClass: "d", MaxFailures: 3, Slack: 2, Priority: 2, Target: time.Second,
+	})}
+	r.commit(tbflow.PutConfig{Config: config})
+	for i := range 12 {
+		r.submit("fill", fmt.Sprintf("full%d", i), bestEffortStep(1, "x"))
+	}
+	r.advance(replayTick)
+	r.submit("other", "other", bestEffortStep(4, "x"))
+	r.advance(replayTick)
+	qt.Check(t, r.state.Jobs["full11"].WaitingTasks(0, 0), qt.Equals, 1)
+	qt.Check(t, r.state.Jobs["other"].AssignedTasks(0, 0), qt.Equals, 4)
+}
--- a/core/tbassign/place.go
+++ b/core/tbassign/place.go
@@ -97,8 +97,14 @@
 	return plan
 }
 
+// unplaceableKey identifies the best-effort steps of a class and an image.
+type unplaceableKey struct {
+	class      string
+	imageIndex int
+}
+
 // isUnplaceable reports whether this plan has already found no worker for a best-effort step of
-// the same image that needed as much as this step or less.
+// the same class and image that needed as much as this step or less.
 //
 // A failed search stays valid during a plan because placements only reduce the free capacity. When
 // claimReservation frees reserved capacity, it clears all these results.
@@ -106,7 +112,7 @@
 	if !w.step.BestEffort {
 		return false
 	}
-	needed, ok := p.unplaceable[w.imageIndex]
+	needed, ok := p.unplaceable[unplaceableKey{w.job.WorkerClass, w.imageIndex}]
 	return ok && needed.Fits(w.step.Need)
 }
 
@@ -114,7 +120,7 @@
 // if the step has a label or a spread limit, because these may be the reason why no worker fits.
 func (p *planState) markUnplaceable(w *waitingStep) {
 	if w.step.BestEffort && w.step.Label == "" && w.step.SpreadLimit <= 0 {
-		p.unplaceable[w.imageIndex] = w.step.Need
+		p.unplaceable[unplaceableKey{w.job.WorkerClass, w.imageIndex}] = w.step.Need
 	}
 }
 
--- a/core/tbassign/plan.go
+++ b/core/tbassign/plan.go
@@ -84,9 +84,9 @@
 	harmfulShares []float64
 	// bound holds the bound tasks of the steps of the plan.
 	bound []boundTask
-	// unplaceable holds, by index of the best-effort image, the demand of a task for which no
-	// worker was found.
-	unplaceable map[int]tbresource.Amount
+	// unplaceable holds, by class and index of the best-effort image, the demand of a task for
+	// which no worker was found.
+	unplaceable map[unplaceableKey]tbresource.Amount
 	// slotBudgets holds the budgets of the worker classes for which long-running or best-effort steps are waiting.
 	slotBudgets map[string]*slotBudget
 	// largeBudgets holds the budgets of slots for large short tasks, with Features.LookAhead.
@@ -112,7 +112,7 @@
 func newPlanState(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer, steps []*waitingStep) *planState {
 	p := &planState{
 		state: s, fleet: f, learner: l, rebalancer: g, now: now, nowMs: s.TimeAt(now), workersByClass: map[string][]*workerState{},
-		spreadCountedSteps: map[stepRef]bool{}, unplaceable: map[int]tbresource.Amount{}, candidates: candidates{buffers: &l.planBuffers},
+		spreadCountedSteps: map[stepRef]bool{}, unplaceable: map[unplaceableKey]tbresource.Amount{}, candidates: candidates{buffers: &l.planBuffers},
 	}
 	p.bound = boundTasks(s, steps)
 	p.addWorkers(f, steps)
