Keep room for other work only in a class of which at least half is in use

Slots for short tasks are remembered from burst to burst, so that best-effort work did not start in a class that the bursts used by a tenth. A best-effort task that no worker tolerates beside its long-running tasks never started, and so nothing was learned of it. A reservation of look-ahead (off by default) may be that of the only worker, and was made again while a run lasted for longer than expected.

Change: one rule for all three, and for the processors that best-effort tasks request: while less than half of a class is in use, nothing is kept from a ready task. Use counts reserved resources and the requests of best-effort tasks. A gang does not count itself. A best-effort task that no worker tolerates waits for 1.5 s first, as long-running tasks do for headroom; its speed is adjusted once it runs, so that targets are kept.

--- a/core/tbassign/considered_workers.go
+++ b/core/tbassign/considered_workers.go
@@ -136,7 +136,13 @@
 		unusedMillicores:  w.Capacity.MilliProcessors - use.BestEffortMilliProcessors,
 		longRunningCounts: r.longRunningCounts[:0], margins: r.margins[:0], plannedBestEffort: r.plannedBestEffort[:0],
 		harmlessSum: math.NaN(), slowPenalty: p.learner.slowPenalty(p.now, w.ID),
+		bestEffortMillicores: use.BestEffortMilliProcessors, classUse: p.classUse[w.Class],
 	}
+	if r.classUse == nil {
+		r.classUse = &classUse{}
+		p.classUse[w.Class] = r.classUse
+	}
+	r.classUse.add(r)
 	p.workersByClass[w.Class] = append(p.workersByClass[w.Class], r)
 	return true
 }
--- a/core/tbassign/lookahead.go
+++ b/core/tbassign/lookahead.go
@@ -265,7 +265,7 @@
 // takesReservedRoom reports whether a task of a step would take room on a worker that is reserved for another step. Steps
 // of a higher priority may take it, and long-running ones that have waited for maxYieldTime.
 func (p *planState) takesReservedRoom(r *workerState, w *waitingStep, need tbresource.Amount) bool {
-	if r.reserved == nil || r.isReservedFor(w) {
+	if r.reserved == nil || r.isReservedFor(w) || !r.keepsRoomFrom(w) {
 		return false
 	}
 	if owner := p.state.Jobs[r.reserved.step.jobID]; owner == nil || w.job.Priority < owner.Priority {
--- a/core/tbassign/place.go
+++ b/core/tbassign/place.go
@@ -117,9 +117,11 @@
 }
 
 // markUnplaceable records that no worker can take a task of a best-effort step. It records nothing
-// if the step has a label or a spread limit, because these may be the reason why no worker fits.
+// if the step has a label or a spread limit, because these may be the reason why no worker fits, or
+// if the class has much room, because a task that has waited for longer may start then.
 func (p *planState) markUnplaceable(w *waitingStep) {
-	if w.step.BestEffort && w.step.Label == "" && w.step.SpreadLimit <= 0 {
+	use := p.classUse[w.job.WorkerClass]
+	if w.step.BestEffort && w.step.Label == "" && w.step.SpreadLimit <= 0 && (use == nil || use.keepsRoom()) {
 		p.unplaceable[unplaceableKey{w.job.WorkerClass, w.imageIndex}] = w.step.Need
 	}
 }
@@ -169,6 +171,8 @@
 	}
 	var plan []tbflow.Assignment
 	var assignedWorkers []*workerState
+	use := p.classUse[w.job.WorkerClass]
+	w.startsInRoom = use != nil && !use.keepsRoom()
 	cs := p.scoreWorkers(w)
 	for _, ref := range w.waitingTasks() {
 		r := p.placeMember(w, ref, cs)
@@ -274,7 +278,10 @@
 func (c *candidates) choose(t *tbflow.Task) *workerState {
 	for range maxSeparateChecks {
 		r := c.bestScored(t)
-		if r == nil || c.verify(r) {
+		if r == nil {
+			return c.chooseUntolerated(t)
+		}
+		if c.verify(r) {
 			return r
 		}
 	}
@@ -283,14 +290,31 @@
 			c.verify(r)
 		}
 	}
+	if r := c.bestScored(t); r != nil {
+		return r
+	}
+	return c.chooseUntolerated(t)
+}
+
+// chooseUntolerated returns the best worker for a best-effort task that no worker tolerates, if the task has waited for
+// headroomWaitMs and its class has much room, and otherwise nil. The speed of the task is then adjusted to the
+// long-running tasks beside it.
+func (c *candidates) chooseUntolerated(t *tbflow.Task) *workerState {
+	if !c.step.step.BestEffort || len(c.workers) == 0 || c.workers[0].keepsRoomFrom(c.step) || c.planState.nowMs-t.WaitingSinceMs <= headroomWaitMs {
+		return nil
+	}
+	for _, r := range c.workers {
+		c.rescore(r)
+	}
 	return c.bestScored(t)
 }
 
 // verify reports whether a worker tolerates a task of the step. If not, its score becomes
 // infeasibleScore.
 func (c *candidates) verify(r *workerState) bool {
-	// Tasks that the plan has placed on other workers may have taken the spare slots since the worker was scored.
-	if c.planState.takesNeededSlot(r, c.step, withoutProcessors(c.step.step.Need)) {
+	// Tasks that the plan has placed on other workers may have taken the spare slots or half of the class since the
+	// worker was scored.
+	if !c.planState.hasRoom(r, c.step) {
 		c.scores[r.classIndex] = infeasibleScore
 		return false
 	}
@@ -367,13 +391,20 @@
 	need := w.step.Need
 	if w.step.BestEffort {
 		need = withoutProcessors(need)
-		if int64(float64(w.step.Need.MilliProcessors)*bestEffortRequestFactor) > r.unusedMillicores {
+		if !r.hasProcessorsForBestEffort(w) {
 			return false
 		}
 	}
 	return need.Fits(r.free) && !p.takesReservedRoom(r, w, need) && !p.takesNeededSlot(r, w, need) && satisfiesConstraints(w.step, r.worker, r.spreadCounts[w.stepRef()])
 }
 
+// hasProcessorsForBestEffort reports whether a worker has processors for a best-effort task: as many unused ones as it
+// requests, or whatever is left if the class has much room.
+func (r *workerState) hasProcessorsForBestEffort(w *waitingStep) bool {
+	return int64(float64(w.step.Need.MilliProcessors)*bestEffortRequestFactor) <= r.unusedMillicores ||
+		r.unusedMillicores > 0 && !r.keepsRoomFrom(w)
+}
+
 // withoutProcessors returns what a best-effort task takes from other tasks: it uses the processors that they
 // leave unused.
 func withoutProcessors(need tbresource.Amount) tbresource.Amount {
@@ -384,7 +415,7 @@
 // takesNeededSlot reports whether the memory of a best-effort task would take a slot that short tasks need.
 func (p *planState) takesNeededSlot(r *workerState, w *waitingStep, need tbresource.Amount) bool {
 	b := p.slotBudgets[w.job.WorkerClass]
-	return w.step.BestEffort && b != nil && b.keepsFromBestEffort(r.free, need)
+	return w.step.BestEffort && b != nil && r.keepsRoomFrom(w) && b.keepsFromBestEffort(r.free, need)
 }
 
 // satisfiesConstraints reports whether a worker has the label of a step and its spread limit
--- a/core/tbassign/plan.go
+++ b/core/tbassign/plan.go
@@ -68,6 +68,7 @@
 	learner        *Learner
 	rebalancer     *Rebalancer
 	workersByClass map[string][]*workerState
+	classUse       map[string]*classUse
 	// workersByID is nil until workerByID first needs it.
 	workersByID map[string]*workerState
 	// consideredShare is the share of the fleet that the plan considers, from 0 to 1.
@@ -111,7 +112,7 @@
 // depends on the workloads.
 func newPlanState(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer, steps []*waitingStep) *planState {
 	p := &planState{
-		state: s, fleet: f, learner: l, rebalancer: g, now: now, nowMs: s.TimeAt(now), workersByClass: map[string][]*workerState{},
+		state: s, fleet: f, learner: l, rebalancer: g, now: now, nowMs: s.TimeAt(now), workersByClass: map[string][]*workerState{}, classUse: map[string]*classUse{},
 		spreadCountedSteps: map[stepRef]bool{}, unplaceable: map[unplaceableKey]tbresource.Amount{}, candidates: candidates{buffers: &l.planBuffers},
 	}
 	p.bound = boundTasks(s, steps)
--- a/core/tbassign/waiting.go
+++ b/core/tbassign/waiting.go
@@ -34,6 +34,8 @@
 	lateness   lateness
 	// postponed is true if other jobs would be late because of this job (see markPostponed).
 	postponed bool
+	// startsInRoom is true for a gang if its class kept no room before the plan placed its members, which count as one.
+	startsInRoom bool
 	// occurrenceWork is the work of all waiting tasks of the occurrence, in processor seconds.
 	occurrenceWork float64
 	// hasOverdueTask is true if a long-running task of the step has waited for too long (see
--- a/core/tbassign/worker_state.go
+++ b/core/tbassign/worker_state.go
@@ -18,6 +18,10 @@
 	// request of each best-effort task and the expected use of each other task are subtracted. It
 	// may be negative.
 	unusedMillicores int64
+	// bestEffortMillicores is what the best-effort tasks request, in millicores.
+	bestEffortMillicores int64
+	// classUse is the use of the worker's class, of which the worker is a part.
+	classUse *classUse
 	// longRunningCounts holds the number of long-running tasks of each image, sorted by image
 	// index.
 	longRunningCounts []imageCount
@@ -89,11 +93,13 @@
 // adjustFree subtracts need, the demand of one task, from the free capacity and counts the task for
 // its spread limit. With sign -1, it adds need back and no longer counts the task.
 func (r *workerState) adjustFree(step *tbflow.Step, ref stepRef, need tbresource.Amount, sign int) {
-	if sign > 0 {
-		r.free = r.free.Sub(need)
-	} else {
-		r.free = r.free.Add(need)
-	}
+	r.adjustUse(func() {
+		if sign > 0 {
+			r.free = r.free.Sub(need)
+		} else {
+			r.free = r.free.Add(need)
+		}
+	})
 	if step.SpreadLimit > 0 {
 		r.addSpreadCount(ref, sign)
 	}
@@ -147,6 +153,7 @@
 	r.plannedRuns += sign
 	if w.step.BestEffort {
 		r.unusedMillicores -= int64(sign) * need.MilliProcessors
+		r.adjustUse(func() { r.bestEffortMillicores += int64(sign) * need.MilliProcessors })
 		p.adjustBestEffort(r, w.step, sign)
 		need.MilliProcessors = 0
 	} else {
