Start best-effort tasks that request more than any worker leaves unused

Cause: a best-effort task started only where the unused processors are at least those that it requests. They are not counted against the worker's capacity: such a task gets what others leave.

Its effect on long-running tasks is estimated from what it can get there, not from what it requests.

--- a/core/tbassign/class_use_test.go
+++ b/core/tbassign/class_use_test.go
@@ -10,6 +10,30 @@
 	"tamarackbarrow/core/tbflow"
 )
 
+// Guards against best-effort tasks that request more processors than any worker leaves unused and never start.
+func TestBestEffortTaskThatRequestsMoreThanAnyWorkerHasStarts(t *testing.T) {
+	watch, busy := longRunningStep(4, "a"), shortTasks(4, 20)
+	watch.SpreadLimit, busy.SpreadLimit, busy.Estimate = 1, 1, time.Minute
+	for name, other := range map[string]*tbflow.Step{"empty workers": nil, "long-running tasks": &watch, "short tasks": &busy} {
+		t.Run(name, func(t *testing.T) {
+			r := newReplay(t, 4, Features{})
+			if other != nil {
+				r.submit("watch", "other", *other)
+				r.advance(2 * time.Second)
+				r.advance(replayTick)
+				qt.Assert(t, r.state.Jobs["other"].AssignedTasks(0, 0), qt.Equals, 4)
+			}
+			large := bestEffortStep(2, "x")
+			large.Need.MilliProcessors = 64_000
+			r.submit("fill", "large", large)
+			for range 2 * headroomWaitMs / 50 {
+				r.advance(replayTick)
+			}
+			qt.Check(t, r.state.Jobs["large"].AssignedTasks(0, 0), qt.Equals, 2)
+		})
+	}
+}
+
 // Guards against best-effort work that waits for as long as bursts of short tasks come, although these use a tenth of the
 // class.
 func TestBurstsOfShortTasksDoNotHoldBestEffortWork(t *testing.T) {
--- a/core/tbassign/place.go
+++ b/core/tbassign/place.go
@@ -399,10 +399,11 @@
 }
 
 // hasProcessorsForBestEffort reports whether a worker has processors for a best-effort task: as many unused ones as it
-// requests, or whatever is left if the class has much room.
+// requests, or whatever is left if no other best-effort task shares it or the class has much room. A task may request
+// more than any worker leaves.
 func (r *workerState) hasProcessorsForBestEffort(w *waitingStep) bool {
 	return int64(float64(w.step.Need.MilliProcessors)*bestEffortRequestFactor) <= r.unusedMillicores ||
-		r.unusedMillicores > 0 && !r.keepsRoomFrom(w)
+		r.unusedMillicores > 0 && (r.bestEffortMillicores == 0 || !r.keepsRoomFrom(w))
 }
 
 // withoutProcessors returns what a best-effort task takes from other tasks: it uses the processors that they
--- a/core/tbassign/reference_test.go
+++ b/core/tbassign/reference_test.go
@@ -317,7 +317,7 @@
 	if w.step.BestEffort {
 		need.MilliProcessors = 0
 		keepsRoom := p.keepsRoom(w)
-		getsWhatIsLeft := r.unusedMillicores > 0 && !keepsRoom
+		getsWhatIsLeft := r.unusedMillicores > 0 && (r.bestEffortMillicores == 0 || !keepsRoom)
 		if int64(float64(w.step.Need.MilliProcessors)*bestEffortRequestFactor) > r.unusedMillicores && !getsWhatIsLeft {
 			return false
 		}
@@ -481,7 +481,7 @@
 	if p.learner.worstSlope(r.longRunningCounts, step.Image) > harmlessSlope {
 		return true
 	}
-	addedShare := processorShare(step.Need.MilliProcessors, r.worker)
+	addedShare := processorShare(min(step.Need.MilliProcessors, max(0, r.unusedMillicores)), r.worker)
 	for _, t := range r.colocated.latencyTasks {
 		if r.colocated.expectedMargin(t)+r.colocated.slope(t, step.Image)*addedShare < minStartMargin {
 			return false
--- a/core/tbassign/worker_state.go
+++ b/core/tbassign/worker_state.go
@@ -203,7 +203,8 @@
 		}
 		p.computeMargins(r)
 	}
-	addedShare := processorShare(w.step.Need.MilliProcessors, r.worker)
+	// A task that requests more than is unused gets no more.
+	addedShare := processorShare(min(w.step.Need.MilliProcessors, max(0, r.unusedMillicores)), r.worker)
 	for _, t := range r.margins {
 		if t.margin+(p.images.slopesByPair[t.imageIndex][w.imageIndex]-t.unexplainedSlope)*addedShare < minStartMargin {
 			return false
