End jobs of which a waiting task has no attempts left

Cause: the limit was known in three places. A new configuration copied it into stored jobs and judged none, the assignment refused the run, and only an end of the kind failed ended a job. A task that came to wait without attempts in another way had no way on: the limit was lowered while it waited, or while a run was executing that then was stopped, lost or given up.

Change: the state keeps a list of the active jobs with a waiting task without attempts, derived from its stored fields. The leader ends these jobs with a new command, FailExhausted. A run that is executing goes on, and if it is done, so is the task. The planner leaves out tasks without attempts.

The two tests of core/tbcontrol fail without the proposal.

--- a/core/tbassign/waiting.go
+++ b/core/tbassign/waiting.go
@@ -64,12 +64,12 @@
 
 func (w *waitingStep) stepRef() stepRef { return stepRef{w.job.ID, w.occurrence, w.stepIndex} }
 
-// waitingTasks returns the waiting tasks of the step.
+// waitingTasks returns the waiting tasks of the step that have attempts left.
 func (w *waitingStep) waitingTasks() []tbflow.TaskRef {
 	if w.taskRefs == nil {
 		w.taskRefs = make([]tbflow.TaskRef, 0, w.job.WaitingTasks(w.occurrence, w.stepIndex))
 		for n := range w.job.Tasks[w.occurrence][w.stepIndex] {
-			if w.job.Tasks[w.occurrence][w.stepIndex][n].Phase == tbflow.TaskWaiting {
+			if t := &w.job.Tasks[w.occurrence][w.stepIndex][n]; t.Phase == tbflow.TaskWaiting && w.job.HasAttempts(w.stepIndex, t) {
 				w.taskRefs = append(w.taskRefs, tbflow.TaskRef{Job: w.job.ID, Occurrence: w.occurrence, Step: w.stepIndex, Index: n})
 			}
 		}
--- a/core/tbassign/waiting_schedule_test.go
+++ b/core/tbassign/waiting_schedule_test.go
@@ -83,6 +83,7 @@
 	config := tbflow.Config{Version: s.state.Config.Version + 1, Queues: slices.Clone(s.state.Config.Queues)}
 	for i := range config.Queues {
 		config.Queues[i].Priority = s.rng.IntN(3)
+		config.Queues[i].MaxFailures = 1 + s.rng.IntN(4)
 		config.Queues[i].WorkerClass = []string{"c", "c", "d"}[s.rng.IntN(3)]
 	}
 	s.commit(tbflow.PutConfig{Config: config})
@@ -183,18 +184,26 @@
 	}
 }
 
-func (s *waitingSchedule) step() {
+// step plays one tick. It returns an error if the plan has an assignment that the state rejects.
+func (s *waitingSchedule) step() error {
 	s.now = s.now.Add(scheduleTick)
 	s.commit(tbflow.PutConfig{})
 	s.endRuns()
+	if jobs := s.state.ExhaustedJobs(); len(jobs) > 0 {
+		s.commit(tbflow.FailExhausted{Jobs: jobs})
+	}
 	for _, w := range s.fleet.Workers() {
 		s.poll(w.ID, noMeasurement)
 	}
 	for _, run := range s.planner.NextPlan(s.now, s.state, s.fleet, s.learner, s.rebalancer).Runs {
+		if reason := s.state.AssignRefusal(run); reason != tbflow.OK {
+			return fmt.Errorf("the plan has %+v, which the state rejects with %q", run, reason)
+		}
 		s.commit(tbflow.Assign{Assignments: []tbflow.Assignment{run}})
 		s.answerStart(run)
 		s.running = append(s.running, runEnd{s.now.Add(s.runTime(s.state.StepOf(run.Ref))), run})
 	}
+	return nil
 }
 
 // isHalfUsed reports whether at least half of the processors or of the memory of a class is in use.
@@ -291,7 +300,9 @@
 		if s.rng.IntN(200) == 0 {
 			s.putRandomConfig()
 		}
-		s.step()
+		if err := s.step(); err != nil {
+			return err
+		}
 		if err := s.check(); err != nil {
 			return err
 		}
--- /dev/null
+++ b/core/tbcontrol/attempts_test.go
@@ -0,0 +1,71 @@
+package tbcontrol_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"tamarackbarrow/core/tbcontrol"
+	"tamarackbarrow/core/tbfleet"
+	"tamarackbarrow/core/tbflow"
+	"tamarackbarrow/core/tbresource"
+)
+
+// endRun lists the end of a run of job j at worker w, and lets the leader record it.
+func (g *simulatedGroup) endRun(number, run uint64, kind tbflow.EndKind) {
+	r := g.leader()
+	g.step(r, tbcontrol.PollAnswered{Term: r.control.Replica().Term(), Answer: tbfleet.PollAnswered{
+		Worker: "w", Incarnation: 1, ActualIncarnation: 1, SentAt: g.now, Outcome: tbfleet.Accepted, ClockMs: 10,
+		Ended: []tbfleet.ListedEnd{{Number: number, Ref: tbflow.TaskRef{Job: "j"}, Run: run, Kind: kind}},
+	}})
+	g.advance(50 * time.Millisecond)
+}
+
+// putMaxFailures stores a configuration that changes the limit of the queue.
+func (g *simulatedGroup) putMaxFailures(version uint64, maxFailures int) {
+	config := g.leader().control.State().Flow.Config
+	config.Version, config.Queues = version, []tbflow.Queue{config.Queues[0]}
+	config.Queues[0].MaxFailures = maxFailures
+	qt.Assert(g.t, g.ask(tbcontrol.ConfigPutRequested{Config: config}).Answer.Code, qt.Equals, tbcontrol.Done)
+}
+
+func (g *simulatedGroup) jobPhase() tbflow.JobPhase {
+	return g.leader().control.State().Flow.Jobs["j"].Phase
+}
+
+// Guards against jobs that go on without end once a new configuration has lowered their limit to the failures of a waiting task.
+func TestWaitingJobFailsUnderANewConfigurationWithoutAttempts(t *testing.T) {
+	g := newGroupWithRunningJob(t)
+	// The worker drains, so that the task waits.
+	g.ask(tbcontrol.WorkerReported{Report: tbfleet.Report{
+		ID: "w", Address: "w:1", Incarnation: 1, Class: "c", ClockMs: 2, Sequence: 2, Draining: true, Capacity: tbresource.Amount{MilliProcessors: 8000, MemoryMB: 8000},
+	}})
+	g.endRun(1, 1, tbflow.EndFailed)
+	qt.Assert(t, g.leader().control.State().Flow.Jobs["j"].Tasks[0][0][0].Phase, qt.Equals, tbflow.TaskWaiting)
+	qt.Check(t, g.jobPhase(), qt.Equals, tbflow.Running)
+	g.putMaxFailures(3, 1)
+	g.advance(100 * time.Millisecond)
+	qt.Check(t, g.jobPhase(), qt.Equals, tbflow.Failed)
+	qt.Check(t, g.leader().logLinesWith("job ended"), qt.HasLen, 1)
+}
+
+// Guards against jobs that go on without end if a run that was executing when the limit was lowered ends in another way
+// than by failing. A run that is done still completes the job.
+func TestRunThatOutlivesItsLimitDecidesTheJob(t *testing.T) {
+	for kind, want := range map[tbflow.EndKind]tbflow.JobPhase{
+		tbflow.EndStopped: tbflow.Failed, tbflow.EndNeverRan: tbflow.Failed, tbflow.EndFailed: tbflow.Failed, tbflow.EndDone: tbflow.Completed,
+	} {
+		g := newGroupWithRunningJob(t)
+		g.endRun(1, 1, tbflow.EndFailed)
+		g.advance(2 * time.Second)
+		task := g.leader().control.State().Flow.Jobs["j"].Tasks[0][0][0]
+		qt.Assert(t, task.Phase, qt.Equals, tbflow.TaskAssigned)
+		g.putMaxFailures(3, 1)
+		g.advance(time.Second)
+		qt.Check(t, g.jobPhase(), qt.Equals, tbflow.Running)
+		g.endRun(2, task.Run, kind)
+		g.advance(100 * time.Millisecond)
+		qt.Check(t, g.jobPhase(), qt.Equals, want, qt.Commentf("end of kind %d", kind))
+	}
+}
--- a/core/tbcontrol/control.go
+++ b/core/tbcontrol/control.go
@@ -155,6 +155,7 @@
 		if c.leader != nil {
 			c.leader.flow.planner.ObserveLoad(ev.Load)
 		}
+		c.failExhausted(now)
 		c.planRuns(now)
 		c.planCopies(now)
 		c.processFleetOutput(now)
--- a/core/tbcontrol/decision_log.go
+++ b/core/tbcontrol/decision_log.go
@@ -85,6 +85,14 @@
 		for _, r := range command.Runs {
 			c.logEnd(command.Worker, index, tbflow.End{Ref: r.Ref, Run: r.Run, Kind: tbflow.EndNeverRan}, "unanswered")
 		}
+	case tbflow.FailExhausted:
+		for _, id := range command.Jobs {
+			if j := flow.Jobs[id]; j != nil && j.Phase == tbflow.Failed {
+				lines.add(Log{Message: "job ended", Detail: "a waiting task has no attempts left", Args: []any{
+					"job", id, "phase", j.Phase.String(), "maxFailures", j.MaxFailures, "index", index,
+				}})
+			}
+		}
 	case tbflow.RecordCrash:
 		c.logCrash(index, command)
 	case tbflow.RecordDraining:
--- a/core/tbcontrol/flow.go
+++ b/core/tbcontrol/flow.go
@@ -25,6 +25,8 @@
 	predictions map[string]tbassign.Admission
 	// assignInFlight is true while a plan is proposed and not yet applied.
 	assignInFlight bool
+	// failInFlight is true while FailExhausted is proposed and not yet applied.
+	failInFlight bool
 	// needsPlan is true if a plan has to be made as soon as earliestPlanAt is reached and no plan is in
 	// flight. Requests to the leader, answers to polls, applied commands and the tick every
 	// flowTickInterval set needsPlan.
@@ -250,6 +252,11 @@
 		for _, r := range command.Runs {
 			l.stopRunsOfEndedJob(now, c.state.Flow, c.state.Flow.Jobs[r.Ref.Job])
 		}
+	case tbflow.FailExhausted:
+		l.failInFlight = false
+		for _, id := range command.Jobs {
+			l.stopRunsOfEndedJob(now, c.state.Flow, c.state.Flow.Jobs[id])
+		}
 	case tbflow.RecordUnanswered, tbflow.RecordSettled:
 		l.earliestPlanAt = time.Time{}
 	case tbflow.RecordEnds:
@@ -370,6 +377,17 @@
 	}
 }
 
+// failExhausted proposes to end the jobs that have a waiting task without attempts.
+func (c *Control) failExhausted(now time.Time) {
+	if c.leader == nil || c.leader.flow.failInFlight || !c.IsConfirmedLeader(now) {
+		return
+	}
+	if jobs := c.state.Flow.ExhaustedJobs(); len(jobs) > 0 {
+		c.leader.flow.failInFlight = true
+		c.proposeFlowChange(tbflow.FailExhausted{Jobs: jobs})
+	}
+}
+
 // planCopies proposes second runs of stragglers. It does nothing while a plan is in flight, or while the leader is
 // late.
 func (c *Control) planCopies(now time.Time) {
@@ -381,7 +399,8 @@
 		return
 	}
 	l.nextCopiesAt = now.Add(copyInterval)
-	if copies := tbassign.PlanCopies(now, c.state.Flow, l.fleet, l.learner, l.rebalancer); len(copies) > 0 {
+	copies := tbassign.PlanCopies(now, c.state.Flow, l.fleet, l.learner, l.rebalancer)
+	if len(copies) > 0 {
 		l.assignInFlight = true
 		c.proposeFlowChange(tbflow.AssignCopies{Assignments: copies})
 	}
--- a/core/tbflow/copies.go
+++ b/core/tbflow/copies.go
@@ -61,7 +61,8 @@
 	return found
 }
 
-func (s *State) assignCopy(a Assignment) Reason {
+// CopyRefusal returns why the state would reject the assignment of a second run, or OK.
+func (s *State) CopyRefusal(a Assignment) Reason {
 	j := s.Jobs[a.Ref.Job]
 	if j == nil {
 		return JobUnknown
@@ -84,10 +85,15 @@
 	case !s.MayAssign(a.Ref, a.Worker):
 		return StartOutstanding
 	}
-	if reason := s.refuses(a.Worker, a.Incarnation); reason != OK {
+	return s.workerRefusal(a.Worker, a.Incarnation)
+}
+
+func (s *State) assignCopy(a Assignment) Reason {
+	if reason := s.CopyRefusal(a); reason != OK {
 		return reason
 	}
-	s.addCopy(j, a.Ref, CopyRun{Run: a.Run, Worker: a.Worker, Incarnation: a.Incarnation, AssignedMs: s.NowMs})
+	s.ensureWorkerRecord(a.Worker, a.Incarnation)
+	s.addCopy(s.Jobs[a.Ref.Job], a.Ref, CopyRun{Run: a.Run, Worker: a.Worker, Incarnation: a.Incarnation, AssignedMs: s.NowMs})
 	return OK
 }
 
--- a/core/tbflow/job.go
+++ b/core/tbflow/job.go
@@ -80,7 +80,7 @@
 	Running
 	// Completed means that all tasks are done.
 	Completed
-	// Failed means that one task had MaxFailures failed runs, or that the job was given up because a task
+	// Failed means that one task has no attempts left (see Job.HasAttempts), or that the job was given up because a task
 	// crashes its workers.
 	Failed
 	// Cancelled means that a caller cancelled the job.
--- a/core/tbflow/runs.go
+++ b/core/tbflow/runs.go
@@ -2,7 +2,9 @@
 
 import "slices"
 
-func (s *State) assign(a Assignment) Reason {
+// AssignRefusal returns why the state would reject an assignment, or OK. The state also rejects the assignments of the
+// other members of a gang if it rejects one with InEvacuated.
+func (s *State) AssignRefusal(a Assignment) Reason {
 	j := s.Jobs[a.Ref.Job]
 	if j == nil {
 		return JobUnknown
@@ -17,16 +19,25 @@
 		return TaskNotWaiting
 	case a.Run <= s.lastRun(a.Ref, t):
 		return RunStale
-	case !j.Steps[a.Ref.Step].LongRunning && t.Failures >= j.MaxFailures:
+	case !j.HasAttempts(a.Ref.Step, t):
 		return AttemptsUsed
 	case !j.StepReady(a.Ref.Occurrence, a.Ref.Step):
 		return NotReady
 	case !s.MayAssign(a.Ref, a.Worker):
 		return StartOutstanding
+	case j.Steps[a.Ref.Step].Gang && s.isInEvacuated(a):
+		return InEvacuated
 	}
-	if reason := s.refuses(a.Worker, a.Incarnation); reason != OK {
+	return s.workerRefusal(a.Worker, a.Incarnation)
+}
+
+func (s *State) assign(a Assignment) Reason {
+	if reason := s.AssignRefusal(a); reason != OK {
 		return reason
 	}
+	s.ensureWorkerRecord(a.Worker, a.Incarnation)
+	j := s.Jobs[a.Ref.Job]
+	t := j.Task(a.Ref)
 	delete(s.Copies, a.Ref)
 	j.setPhase(a.Ref, t, TaskAssigned)
 	t.Run, t.Worker, t.Incarnation, t.AssignedMs = a.Run, a.Worker, a.Incarnation, s.NowMs
@@ -37,10 +48,12 @@
 	return OK
 }
 
-// refuses returns why no run may be assigned to a worker incarnation, or OK. It creates the record of a new one.
-func (s *State) refuses(worker string, incarnation int64) Reason {
-	w := s.ensureWorkerRecord(worker, incarnation)
+// workerRefusal returns why no run may be assigned to a worker incarnation, or OK.
+func (s *State) workerRefusal(worker string, incarnation int64) Reason {
+	w := s.Workers[worker]
 	switch {
+	case w == nil || w.Incarnation < incarnation:
+		// The assignment creates the record of the incarnation.
 	case w.Incarnation != incarnation:
 		return OtherIncarnation
 	case w.Draining:
@@ -177,6 +190,7 @@
 	case e.Kind == EndFailed:
 		t.LastFailedOn = worker
 	}
+	s.noteExhausted(j, e.Ref, t)
 }
 
 // resetWaitingSince is called when the task ref is done. If all tasks of that step are done, it
--- a/core/tbflow/state.go
+++ b/core/tbflow/state.go
@@ -82,6 +82,8 @@
 	endedJobs []*Job
 	// jobBytes is the sum of the sizes of all jobs, see Job.storedBytes.
 	jobBytes int
+	// exhausted holds the IDs of the active jobs with a waiting task that has no attempts left.
+	exhausted map[string]bool
 	// anchor is set by AnchorTime.
 	anchor timeAnchor
 }
@@ -93,6 +95,7 @@
 		Crashes: map[TaskRef][]Crash{}, Lost: map[string]LostRuns{}, Outstanding: map[TaskRef][]OutstandingStart{}, Silent: map[string]bool{},
 		Evacuations: map[string]Evacuation{}, DataCentres: map[string]bool{}, Copies: map[TaskRef]CopyRun{},
 		assignedTasks: map[string]map[TaskRef]*Task{}, usageByWorker: map[string]Usage{}, runChanges: map[string]uint64{},
+		exhausted: map[string]bool{},
 	}
 }
 
@@ -115,6 +118,7 @@
 		}
 		j.countTasks()
 		s.jobBytes += j.storedBytes()
+		s.findExhausted(j)
 		j.EachTask(func(ref TaskRef, t *Task) {
 			if t.Phase == TaskAssigned {
 				s.addRun(j, ref, t)
@@ -236,6 +240,9 @@
 			w.SignedOff = true
 		}
 		return OK
+	case FailExhausted:
+		s.failExhausted(c)
+		return OK
 	case SetEvacuation:
 		return s.setEvacuation(c)
 	case RecordDraining:
@@ -254,7 +261,10 @@
 	s.Config = c.Config
 	for _, j := range s.activeJobs {
 		if q := s.Config.Queue(j.Queue); q != nil {
-			j.copyQueueSettings(q)
+			maxFailures := j.MaxFailures
+			if j.copyQueueSettings(q); j.MaxFailures != maxFailures {
+				s.findExhausted(j)
+			}
 		}
 	}
 	return OK
@@ -326,6 +336,7 @@
 func (s *State) endJob(j *Job, p JobPhase) {
 	j.Phase = p
 	j.EndedMs = s.NowMs
+	delete(s.exhausted, j.ID)
 	s.activeJobs = slices.DeleteFunc(s.activeJobs, func(other *Job) bool { return other == j })
 	s.endedJobs = append(s.endedJobs, j)
 }
--- a/io/tbflowcodec/codec.go
+++ b/io/tbflowcodec/codec.go
@@ -26,6 +26,7 @@
 		tbflow.SetEvacuation{},
 		tbflow.AssignCopies{},
 		tbflow.RecordSilent{}, tbflow.RecordSilenceEnded{},
+		tbflow.FailExhausted{},
 	}
 	leaderRequestTypes = []any{
 		tbcontrol.SubmitRequested{}, tbcontrol.CancelRequested{}, tbcontrol.JobStateRequested{}, tbcontrol.QueueLengthRequested{},
--- a/io/tbflowcodec/codec_test.go
+++ b/io/tbflowcodec/codec_test.go
@@ -41,13 +41,14 @@
 		tbflow.RecordSettled{Starts: []tbflow.SettledStart{{Ref: ref, Start: tbflow.OutstandingStart{Run: 4, Worker: "w", Incarnation: 5, Address: "a:1"}}}},
 		tbflow.AssignCopies{Assignments: []tbflow.Assignment{{Ref: ref, Run: 4, Worker: "w", Incarnation: 5}}},
 		tbflow.RecordSilent{Worker: "w"}, tbflow.RecordSilenceEnded{Worker: "w"},
+		tbflow.FailExhausted{Jobs: []string{"a", "b"}},
 	} {
 		decoded, err := DecodeCommand(EncodeCommand(c))
 		qt.Assert(t, err, qt.IsNil)
 		// qt.DeepEquals cannot compare the unexported fields of a job.
 		qt.Check(t, reflect.DeepEqual(decoded, c), qt.IsTrue, qt.Commentf("%v, not %v", decoded, c))
 	}
-	qt.Check(t, len(commandTypes), qt.Equals, 20, qt.Commentf("add a case for each new command type"))
+	qt.Check(t, len(commandTypes), qt.Equals, 21, qt.Commentf("add a case for each new command type"))
 }
 
 // For the requests, only the types are compared, because all fields of leaderRequestTypes are zero.
