Do not propose assignments that the state refuses

Cause: nothing compared a plan with what the state refuses before it was proposed.

Change: the leader asks the state for each assignment and second run of a plan, by the function that the state itself uses, and leaves out what it would refuse, with the other members of a gang. The line "run not proposed" is logged once while plans repeat the run.

--- a/core/tbcontrol/attempts_test.go
+++ b/core/tbcontrol/attempts_test.go
@@ -69,3 +69,32 @@
 		qt.Check(t, g.jobPhase(), qt.Equals, want, qt.Commentf("end of kind %d", kind))
 	}
 }
+
+// Guards against assignments that the state rejects and that the leader proposes again at once, each with a log entry on
+// all disks.
+func TestRejectedAssignmentsAreNotProposed(t *testing.T) {
+	g := newGroupWithRunningJob(t)
+	r := g.leader()
+	gang := tbflow.Job{ID: "g", Steps: []tbflow.Step{{Count: 2, Need: tbresource.Amount{MilliProcessors: 9000, MemoryMB: 10}, Gang: true}}}
+	qt.Assert(t, g.ask(tbcontrol.SubmitRequested{Submit: tbflow.Submit{Host: "h", Path: "/q/g", Job: gang}}).Answer.Code, qt.Equals, tbcontrol.Done)
+	single := gang
+	single.ID, single.Steps = "s", []tbflow.Step{{Count: 1, Need: tbresource.Amount{MilliProcessors: 9000, MemoryMB: 10}}}
+	qt.Assert(t, g.ask(tbcontrol.SubmitRequested{Submit: tbflow.Submit{Host: "h", Path: "/q/s", Job: single}}).Answer.Code, qt.Equals, tbcontrol.Done)
+	good := tbflow.Assignment{Ref: tbflow.TaskRef{Job: "s"}, Run: 1, Worker: "w", Incarnation: 1}
+	runs := []tbflow.Assignment{
+		{Ref: tbflow.TaskRef{Job: "unknown"}, Run: 1, Worker: "w", Incarnation: 1},
+		{Ref: tbflow.TaskRef{Job: "g"}, Run: 1, Worker: "w", Incarnation: 1},
+		{Ref: tbflow.TaskRef{Job: "g", Index: 1}, Run: 1, Worker: "w", Incarnation: 0},
+		{Ref: tbflow.TaskRef{Job: "j"}, Run: 1, Worker: "w", Incarnation: 1},
+		good,
+	}
+	r.logLines = nil
+	for range 3 {
+		qt.Check(t, r.control.DropRefused(append([]tbflow.Assignment(nil), runs...)), qt.DeepEquals, []tbflow.Assignment{good})
+	}
+	g.advance(10 * time.Millisecond)
+	qt.Check(t, r.logLinesWith("run not proposed"), qt.HasLen, 3)
+	applied := r.control.State().Applied
+	g.advance(time.Second)
+	qt.Check(t, r.control.State().Applied-applied < 10, qt.IsTrue)
+}
--- a/core/tbcontrol/export_test.go
+++ b/core/tbcontrol/export_test.go
@@ -10,3 +10,8 @@
 
 // ProposeFlowChange proposes a command, for tests.
 func (c *Control) ProposeFlowChange(command tbflow.Command) { c.proposeFlowChange(command) }
+
+// DropRefused returns the assignments without those that the state would reject, for tests.
+func (c *Control) DropRefused(runs []tbflow.Assignment) []tbflow.Assignment {
+	return c.dropRefused(runs)
+}
--- a/core/tbcontrol/flow.go
+++ b/core/tbcontrol/flow.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"tamarackbarrow/core/tbassign"
@@ -27,6 +28,8 @@
 	assignInFlight bool
 	// failInFlight is true while FailExhausted is proposed and not yet applied.
 	failInFlight bool
+	// refused holds the assignments that the last plan has made and the state would reject, with the reasons.
+	refused map[tbflow.Assignment]tbflow.Reason
 	// needsPlan is true if a plan has to be made as soon as earliestPlanAt is reached and no plan is in
 	// flight. Requests to the leader, answers to polls, applied commands and the tick every
 	// flowTickInterval set needsPlan.
@@ -371,12 +374,49 @@
 	for _, h := range plan.Held {
 		c.logHeldTask(h)
 	}
-	if len(plan.Runs) > 0 {
+	if runs := c.dropRefused(plan.Runs); len(runs) > 0 {
 		l.assignInFlight = true
-		c.proposeFlowChange(tbflow.Assign{Assignments: plan.Runs})
+		c.proposeFlowChange(tbflow.Assign{Assignments: runs})
 	}
 }
 
+// dropRefused returns the assignments of a plan without those that the state would reject, and logs these once while the
+// plans repeat them. Proposed, they would change nothing and be planned again at once. A gang is dropped whole, because
+// its members work only together.
+func (c *Control) dropRefused(runs []tbflow.Assignment) []tbflow.Assignment {
+	flow, l := c.state.Flow, c.leader.flow
+	loggedBefore := l.refused
+	l.refused = nil
+	gangs := map[tbflow.TaskRef]bool{}
+	for _, a := range runs {
+		reason := flow.AssignRefusal(a)
+		if reason == tbflow.OK {
+			continue
+		}
+		if l.refused == nil {
+			l.refused = map[tbflow.Assignment]tbflow.Reason{}
+		}
+		if l.refused[a] = reason; loggedBefore[a] != reason {
+			c.emit(Log{Message: "run not proposed", Reason: string(reason), Args: []any{
+				"job", a.Ref.Job, "task", a.Ref.String(), "run", a.Run, "worker", a.Worker, "index", c.state.Applied,
+			}})
+		}
+		if step := flow.StepOf(a.Ref); step != nil && step.Gang {
+			gangs[firstOfStep(a.Ref)] = true
+		}
+	}
+	if l.refused == nil {
+		return runs
+	}
+	return slices.DeleteFunc(runs, func(a tbflow.Assignment) bool { return l.refused[a] != tbflow.OK || gangs[firstOfStep(a.Ref)] })
+}
+
+// firstOfStep returns the first task of the step of a task.
+func firstOfStep(ref tbflow.TaskRef) tbflow.TaskRef {
+	ref.Index = 0
+	return ref
+}
+
 // failExhausted proposes to end the jobs that have a waiting task without attempts.
 func (c *Control) failExhausted(now time.Time) {
 	if c.leader == nil || c.leader.flow.failInFlight || !c.IsConfirmedLeader(now) {
@@ -400,6 +440,7 @@
 	}
 	l.nextCopiesAt = now.Add(copyInterval)
 	copies := tbassign.PlanCopies(now, c.state.Flow, l.fleet, l.learner, l.rebalancer)
+	copies = slices.DeleteFunc(copies, func(a tbflow.Assignment) bool { return c.state.Flow.CopyRefusal(a) != tbflow.OK })
 	if len(copies) > 0 {
 		l.assignInFlight = true
 		c.proposeFlowChange(tbflow.AssignCopies{Assignments: copies})
