--- a/core/tbcontrol/attempts_test.go
+++ b/core/tbcontrol/attempts_test.go
@@ -70,6 +70,38 @@
 	}
 }
 
+// Guards against runs that go on after their job has failed, because another task of it has no attempts left.
+func TestOtherRunsOfAJobWithoutAttemptsAreStopped(t *testing.T) {
+	g := newGroupWithRunningJob(t)
+	other := tbflow.Job{ID: "other", Steps: []tbflow.Step{
+		{Count: 1, Need: tbresource.Amount{MilliProcessors: 100, MemoryMB: 10}}, {Count: 1, Need: tbresource.Amount{MilliProcessors: 9000, MemoryMB: 10}},
+	}}
+	qt.Assert(t, g.ask(tbcontrol.SubmitRequested{Submit: tbflow.Submit{Host: "h", Path: "/q/other", Job: other}}).Answer.Code, qt.Equals, tbcontrol.Done)
+	r := g.leader()
+	// The large task has failed once, on a worker that is not there any more.
+	large := tbflow.TaskRef{Job: "other", Step: 1}
+	r.control.ProposeFlowChange(tbflow.Assign{Assignments: []tbflow.Assignment{{Ref: large, Run: 1, Worker: "gone", Incarnation: 1}}})
+	r.control.ProposeFlowChange(tbflow.RecordEnds{Worker: "gone", Incarnation: 1, Ends: []tbflow.End{{Ref: large, Run: 1, Kind: tbflow.EndFailed}}})
+	g.advance(50 * time.Millisecond)
+	job := r.control.State().Flow.Jobs["other"]
+	qt.Assert(t, job.Tasks[0][1][0].Failures, qt.Equals, 1)
+	qt.Assert(t, job.Tasks[0][0][0].Phase, qt.Equals, tbflow.TaskAssigned)
+	g.step(r, tbcontrol.StartAnswered{Term: r.control.Replica().Term(), Answer: tbfleet.StartAnswered{
+		Worker: "w", Incarnation: 1, Ref: tbflow.TaskRef{Job: "other"}, Run: 1, Outcome: tbfleet.Accepted, ClockMs: 1000,
+	}})
+	r.workerOrders = nil
+	g.putMaxFailures(3, 1)
+	g.advance(100 * time.Millisecond)
+	qt.Check(t, job.Phase, qt.Equals, tbflow.Failed)
+	var stopped []tbflow.TaskRef
+	for _, order := range r.workerOrders {
+		if stop, ok := order.(tbfleet.Stop); ok {
+			stopped = append(stopped, stop.Ref)
+		}
+	}
+	qt.Check(t, stopped, qt.Contains, tbflow.TaskRef{Job: "other"})
+}
+
 // Guards against assignments that the state rejects and that the leader proposes again at once, each with a log entry on
 // all disks.
 func TestRejectedAssignmentsAreNotProposed(t *testing.T) {
