--- a/io/tbstore/recover.go
+++ b/io/tbstore/recover.go
@@ -44,6 +44,9 @@
 	if err != nil {
 		return tbconsensus.PersistedState{}, err
 	}
+	// A process that is killed while it installs a snapshot of the leader may leave the snapshot without the record that
+	// discards the old log.
+	s.discardsLog = len(r.entries) > 0 && len(entries) == 0
 	return tbconsensus.PersistedState{HardState: r.hardState, Snapshot: r.snapshot, Entries: entries}, nil
 }
 
@@ -152,6 +155,11 @@
 	}
 	first := r.entries[0].Index
 	next := first + uint64(len(r.entries))
+	if e.Index > next && e.Index <= r.snapshot.Meta.Index+1 {
+		// The snapshot covers what is missing.
+		r.entries = append(r.entries[:0], e)
+		return nil
+	}
 	if e.Index > next {
 		return fmt.Errorf("log entry %d follows entry %d: entries in between are missing", e.Index, next-1)
 	}
--- a/io/tbstore/store.go
+++ b/io/tbstore/store.go
@@ -47,8 +47,10 @@
 	sealed        []segment
 	active        segment
 	hardState     tbconsensus.HardState
-	syncs         uint64
-	closed        chan struct{}
+	// discardsLog is true if recovery has discarded the entries of the log. The next segment has to say so.
+	discardsLog bool
+	syncs       uint64
+	closed      chan struct{}
 }
 
 // segment is a log file. Its highestIndex is the highest index of an entry in the file, or 0 if the
@@ -240,10 +242,12 @@
 	if first == nil {
 		first = &pb.StoredGroup{}
 	}
+	first.Reset_ = first.GetReset_() || s.discardsLog
 	first.HardState = &pb.HardState{Term: s.hardState.Term, Vote: uint64(s.hardState.Vote)}
 	if err := s.write(first); err != nil {
 		return err
 	}
+	s.discardsLog = false
 	return s.waitForSpace(s.files.SyncFolder)
 }
 
--- a/io/tbstore/store_test.go
+++ b/io/tbstore/store_test.go
@@ -93,6 +93,60 @@
 }
 
 // newestSegmentPath returns the path of the newest segment file.
+// Guards against data folders that cannot be opened, or lose acknowledged entries, after the process was killed while it
+// installed a snapshot: the snapshot was stored, and the record that discards the old log was not.
+func TestKillWhileSnapshotIsInstalled(t *testing.T) {
+	for name, old := range map[string][]tbconsensus.Entry{
+		"the log ends before the snapshot":       entriesFrom(1, 5, 1),
+		"the log ends with the snapshot":         entriesFrom(1, 8, 2),
+		"the log has other entries at its index": entriesFrom(1, 10, 1),
+		"the log has another entry at its end":   entriesFrom(1, 8, 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			folder := t.TempDir()
+			s, f, _, err := openStore(t, folder)
+			qt.Assert(t, err, qt.IsNil)
+			appendAll(t, s, ChangeSet{Entries: old})
+			meta := tbconsensus.SnapshotMeta{Index: 8, Term: 2, Membership: tbconsensus.Membership{Members: []tbconsensus.Member{{ID: 1, Address: "a"}}}}
+			qt.Assert(t, s.writeSnapshot(tbconsensus.Snapshot{Meta: meta, Data: []byte("state")}), qt.IsNil)
+			closeStore(t, s, f)
+			s, f, persisted, err := openStore(t, folder)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, persisted.Snapshot.Meta.Index, qt.Equals, uint64(8))
+			qt.Check(t, persisted.Entries, qt.HasLen, 0)
+			appendAll(t, s, ChangeSet{Entries: entriesFrom(9, 12, 2)})
+			closeStore(t, s, f)
+			s, f, persisted, err = openStore(t, folder)
+			qt.Assert(t, err, qt.IsNil)
+			defer closeStore(t, s, f)
+			qt.Check(t, persisted.Entries, qt.DeepEquals, entriesFrom(9, 12, 2))
+		})
+	}
+}
+
+// Data folders of earlier versions may have a gap in their log that the snapshot covers.
+func TestGapThatTheSnapshotCoversIsRead(t *testing.T) {
+	folder := t.TempDir()
+	s, f, _, err := openStore(t, folder)
+	qt.Assert(t, err, qt.IsNil)
+	appendAll(t, s, ChangeSet{Entries: entriesFrom(1, 5, 1)}, ChangeSet{Entries: entriesFrom(9, 12, 2)})
+	qt.Assert(t, s.writeSnapshot(tbconsensus.Snapshot{Meta: tbconsensus.SnapshotMeta{Index: 8, Term: 2}, Data: []byte("state")}), qt.IsNil)
+	closeStore(t, s, f)
+	s, f, persisted, err := openStore(t, folder)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, persisted.Entries, qt.DeepEquals, entriesFrom(9, 12, 2))
+	closeStore(t, s, f)
+
+	folder = t.TempDir()
+	s, f, _, err = openStore(t, folder)
+	qt.Assert(t, err, qt.IsNil)
+	appendAll(t, s, ChangeSet{Entries: entriesFrom(1, 5, 1)}, ChangeSet{Entries: entriesFrom(10, 12, 2)})
+	qt.Assert(t, s.writeSnapshot(tbconsensus.Snapshot{Meta: tbconsensus.SnapshotMeta{Index: 8, Term: 2}, Data: []byte("state")}), qt.IsNil)
+	closeStore(t, s, f)
+	_, _, _, err = openStore(t, folder)
+	qt.Check(t, err, qt.ErrorMatches, ".*log entry 10 follows entry 5.*")
+}
+
 func newestSegmentPath(t *testing.T, folder string) string {
 	names, err := filepath.Glob(filepath.Join(folder, segmentPrefix+"*"))
 	qt.Assert(t, err, qt.IsNil)
