--- a/core/tbassign/class_use.go
+++ b/core/tbassign/class_use.go
@@ -2,10 +2,11 @@
 
 import "tamarackbarrow/core/tbresource"
 
-// Some room is kept free for other work: slots for short tasks that are expected, workers with reservations for large
-// tasks, processors for the best-effort tasks that run already. That pays while a class is short of room. In a class with
-// much room, it keeps a task waiting beside idle workers, for as long as other work comes or waits. Room is therefore kept
-// only in a class of which at least half is in use.
+// Some room is kept for other work: slots for short tasks that are expected, workers that are reserved for large tasks,
+// processors for the best-effort tasks that run there, and workers whose long-running tasks a best-effort task would slow
+// down. That pays while a class is short of room. In a class with much room, a task would wait beside idle workers for as
+// long as the other work comes or waits. Room is therefore kept only in a class of which at least half is in use, which is
+// where the users' contract no longer requires that a ready task starts.
 
 // classUse is how much of the considered workers of a class is in use. The requests of best-effort tasks count, at most up
 // to the processors of their worker.
--- a/core/tbassign/waiting.go
+++ b/core/tbassign/waiting.go
@@ -34,7 +34,8 @@
 	lateness   lateness
 	// postponed is true if other jobs would be late because of this job (see markPostponed).
 	postponed bool
-	// startsInRoom is true for a gang if its class kept no room before the plan placed its members, which count as one.
+	// startsInRoom is true for a gang whose class kept no room when the plan began to place its members. These start
+	// together, so that the first of them do not make the class keep room from the others.
 	startsInRoom bool
 	// occurrenceWork is the work of all waiting tasks of the occurrence, in processor seconds.
 	occurrenceWork float64
--- a/core/tbcontrol/flow.go
+++ b/core/tbcontrol/flow.go
@@ -28,7 +28,7 @@
 	assignInFlight bool
 	// failInFlight is true while FailExhausted is proposed and not yet applied.
 	failInFlight bool
-	// refused holds the assignments that the last plan has made and the state would reject, with the reasons.
+	// refused holds the assignments of the last plan that the state would reject, with the reasons.
 	refused map[tbflow.Assignment]tbflow.Reason
 	// needsPlan is true if a plan has to be made as soon as earliestPlanAt is reached and no plan is in
 	// flight. Requests to the leader, answers to polls, applied commands and the tick every
