Give each worker that gets no new task a typed reason

Change: WhyUnusable returns the first reason, and Usable is WhyUnusable without one. The checks and their effect are the same; an avoided worker also keeps what it is avoided for. A refused start that was surely not sent, by its cause, is logged as "start not sent".

Measured: TestEachReasonWhyAWorkerIsUnusable reaches all reasons and compares both functions.

--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -75,6 +75,8 @@
 	// poll that was not superseded.
 	Unresponsive bool
 
+	// avoidReason says why the worker gets no new tasks before AvoidUntil.
+	avoidReason UnusableReason
 	// answeredAt is when this incarnation last answered a poll of this leader, or zero.
 	answeredAt time.Time
 	// registered is true from the first report until the worker signs off or is replaced. A
@@ -351,13 +353,6 @@
 // starts could fill the list of ends, whose length is limited.
 const maxUnackedEnds = 100
 
-// Usable reports whether the worker may get a new task now.
-func (f *Fleet) Usable(w *Worker, now time.Time) bool {
-	return w.registered && !w.Draining && !w.Unresponsive && !f.isSilent(w.ID) && !w.needsFence && w.lapse != lapsing && w.lastClockReading.isKnown() &&
-		w.unackedEndCount < maxUnackedEnds && now.Sub(w.LastHeardAt) < f.params.SilenceTimeout && !now.Before(w.AvoidUntil) &&
-		!now.Before(w.ObservedUntil) && !f.hasOverdueStart(w, now)
-}
-
 // EachRun calls visit for each run of the worker, in no particular order.
 func (w *Worker) EachRun(visit func(ref tbflow.TaskRef, r *Run)) {
 	for ref, r := range w.runs {
--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -178,7 +178,7 @@
 			run.noteAccepted(run.startSentAt)
 			w.noteDisconnect(now)
 		}
-		w.AvoidUntil = maxTime(w.AvoidUntil, now.Add(failedStartBackoff))
+		w.avoidLonger(now.Add(failedStartBackoff), AvoidedUnansweredStart)
 	}
 	f.reconcile(now, w)
 }
@@ -198,12 +198,16 @@
 }
 
 func (f *Fleet) handleStartRefused(now time.Time, w *Worker, a StartAnswered, run *Run) {
-	f.output.LogEvents = append(f.output.LogEvents, LogEvent{Message: "start refused", Worker: w.ID, Ref: a.Ref, Run: a.Run, Detail: a.Cause})
+	message, reason := "start refused", AvoidedRefusedStart
+	if IsUnsent(a.Cause) {
+		message, reason = "start not sent", AvoidedUnsentStart
+	}
+	f.output.LogEvents = append(f.output.LogEvents, LogEvent{Message: message, Worker: w.ID, Ref: a.Ref, Run: a.Run, Detail: a.Cause})
 	if a.Cause == CauseNoRoom {
-		w.AvoidUntil = now.Add(noRoomBackoff)
+		w.avoid(now.Add(noRoomBackoff), AvoidedNoRoom)
 	} else {
-		w.AvoidUntil = maxTime(w.AvoidUntil, now.Add(failedStartBackoff))
-		f.addFailure(now, w)
+		w.avoidLonger(now.Add(failedStartBackoff), reason)
+		f.addFailure(now, w, reason)
 	}
 	f.proposeNeverRan(w, w.Incarnation, a.Ref, run)
 }
@@ -215,17 +219,31 @@
 	// CauseDisconnected is the cause of an unconfirmed start or poll if the worker closed the connection
 	// before it answered.
 	CauseDisconnected = "disconnected"
+	// CauseConnectTimeout is the cause of an order that was not sent, because no connection to the worker was
+	// established in time.
+	CauseConnectTimeout = "connectTimeout"
+	// CauseConnectRefused is the cause of an order that was not sent, because nothing listens at the worker's address.
+	CauseConnectRefused = "connectRefused"
+	// CauseConnectFailed is the cause of an order that was not sent for any other reason.
+	CauseConnectFailed = "connectFailed"
+	// CauseFence is the cause of a refusal of an order whose token is lower than one that the worker has seen.
+	CauseFence = "fence"
 )
 
+// IsUnsent reports whether the cause of a refused order is that no part of the order was sent.
+func IsUnsent(cause string) bool {
+	return cause == CauseConnectTimeout || cause == CauseConnectRefused || cause == CauseConnectFailed
+}
+
 // addFailure adds a failure to the worker's count. After repeated failures, the worker is avoided
 // for a while.
-func (f *Fleet) addFailure(now time.Time, w *Worker) {
+func (f *Fleet) addFailure(now time.Time, w *Worker, reason UnusableReason) {
 	w.Failures++
 	if w.Failures < failuresBeforeBackoff {
 		return
 	}
 	doublings := min(w.Failures-failuresBeforeBackoff, 3)
-	w.AvoidUntil = now.Add(min(minBackoff<<doublings, maxBackoff))
+	w.avoid(now.Add(min(minBackoff<<doublings, maxBackoff)), reason)
 }
 
 // attributeFailure counts a failed run as a failure of the worker, unless the job failed first on
@@ -244,7 +262,7 @@
 	case firstWorker != w.ID:
 		return
 	}
-	f.addFailure(now, w)
+	f.addFailure(now, w, AvoidedFailures)
 }
 
 // Stop orders the worker to stop a run. The order is resent until the leader proposes to record an
@@ -264,7 +282,7 @@
 	if w == nil || w.runs[ref] == nil || w.runs[ref].stopRequested {
 		return
 	}
-	w.AvoidUntil = maxTime(w.AvoidUntil, now.Add(stallBackoff))
+	w.avoidLonger(now.Add(stallBackoff), AvoidedStalledRun)
 	f.output.LogEvents = append(f.output.LogEvents, LogEvent{Message: "run stands still", Worker: w.ID, Ref: ref, Run: w.runs[ref].Number})
 	f.Stop(now, worker, ref)
 }
--- a/core/tbfleet/poll.go
+++ b/core/tbfleet/poll.go
@@ -386,7 +386,7 @@
 		if stopConfirmed && run.isConfirmed {
 			// The worker has executed the run and lists no end. A late poll for its earlier incarnation may
 			// have acknowledged the ends of this one, which then lists none of its next ends, either.
-			f.addFailure(now, w)
+			f.addFailure(now, w, AvoidedFailures)
 		}
 		isResolved := run.Phase == RunUnknown || startFencedOff || stopConfirmed
 		switch {
