Log once a second which workers may get tasks and what waits

Cause: when accepted jobs stand, the log does not say how many workers a plan may use, what keeps it from the others, how long which kind of task has waited, nor how large the window of best-effort starts is.

The line shows the starts under way as of the last plan, because counting them anew would change the count.

--- a/core/tbassign/considered_workers.go
+++ b/core/tbassign/considered_workers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tamarackbarrow/core/tbfleet"
+	"tamarackbarrow/core/tbflow"
 )
 
 // Thousands of tasks have to be started each second on thousands of workers. If each plan compared
@@ -110,11 +111,42 @@
 // told to stop it many times, so that the entry names no run.
 const unknownStrayTimeout = 10 * time.Second
 
-// addWorker adds a worker and returns true, if the worker is registered and usable and its data centre is not
-// evacuated. A worker that does not
-// refuse tasks that exceed its capacity also has to have reported its capacity lately.
+// whyExcluded returns the reason why no plan may use a worker now, or an empty string. A worker that does not refuse tasks
+// that exceed its capacity has to have reported its capacity lately.
+func whyExcluded(now time.Time, s *tbflow.State, f *tbfleet.Fleet, w *tbfleet.Worker) string {
+	reason := f.WhyUnusable(w, now)
+	switch {
+	case reason != tbfleet.NotUnusable:
+		return reason.String()
+	case s.IsEvacuated(w.DataCentre):
+		return "evacuated"
+	case !s.Config.EnforcesCapacity(w.Class) && !f.KnowsCapacity(w, now):
+		return "capacityUnknown"
+	}
+	return ""
+}
+
+// CountWorkers returns the number of workers that plans may use now, and that of the registered ones that they may not, by
+// reason.
+func CountWorkers(now time.Time, s *tbflow.State, f *tbfleet.Fleet) (usable int, excluded map[string]int) {
+	excluded = map[string]int{}
+	for i := range f.Size() {
+		w := f.WorkerAt(i)
+		if w == nil {
+			continue
+		}
+		if why := whyExcluded(now, s, f, w); why != "" {
+			excluded[why]++
+		} else {
+			usable++
+		}
+	}
+	return usable, excluded
+}
+
+// addWorker adds a worker and returns true, if the worker is registered and a plan may use it.
 func (p *planState) addWorker(f *tbfleet.Fleet, w *tbfleet.Worker) bool {
-	if w == nil || !f.Usable(w, p.now) || p.state.IsEvacuated(w.DataCentre) || !p.state.Config.EnforcesCapacity(w.Class) && !f.KnowsCapacity(w, p.now) {
+	if w == nil || whyExcluded(p.now, p.state, f, w) != "" {
 		return false
 	}
 	use := p.state.Usage(w.ID)
--- a/core/tbassign/planner.go
+++ b/core/tbassign/planner.go
@@ -99,6 +99,9 @@
 // IsLate reports whether the leader has to save work, because its events wait.
 func (p *Planner) IsLate() bool { return p.window.isLate }
 
+// Window returns how many best-effort starts may be under way, or 0 before the first plan.
+func (p *Planner) Window() int { return int(p.window.size) }
+
 // NextPlan returns the next plan.
 func (p *Planner) NextPlan(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer) PlannedRuns {
 	answerTime, shortest := f.AnswerTime()
--- a/core/tbcontrol/flow.go
+++ b/core/tbcontrol/flow.go
@@ -44,6 +44,7 @@
 	takenOverAt time.Time
 	// nextCopiesAt is when stragglers are looked for next.
 	nextCopiesAt time.Time
+	summary      summaryState
 }
 
 // Intervals of the leader's work for multi-step jobs.
@@ -68,6 +69,7 @@
 		predictions:    map[string]tbassign.Admission{},
 		needsPlan:      true,
 		takenOverAt:    now,
+		summary:        summaryState{nextAt: now.Add(summaryInterval)},
 	}
 	l.learner.Features = c.cfg.Scheduling
 	l.fleet.TakeOver(now, c.state.Flow, c.outstandingTimes)
@@ -313,6 +315,7 @@
 		}
 		l.groupManager.reconcileMembership(c, now)
 		l.recordInterference(c, now)
+		l.logSummary(c, now)
 		l.needsPlan = true
 	}
 }
@@ -364,6 +367,7 @@
 		return
 	}
 	underWay := l.fleet.BestEffortUnderWay(now)
+	l.summary.underWay = underWay
 	answerTime, _ := l.fleet.AnswerTime()
 	plan := l.planner.NextPlan(now, c.state.Flow, l.fleet, l.learner, l.rebalancer)
 	// A partial plan covers short steps only (see tbassign.Planner); the next full plan covers the rest.
--- a/core/tbcontrol/leader_load_test.go
+++ b/core/tbcontrol/leader_load_test.go
@@ -147,3 +147,40 @@
 		}
 	}
 }
+
+// A leader says once a second which workers may get tasks and what waits.
+func TestLeaderLogsASummaryOnceASecond(t *testing.T) {
+	s := newBusySimulation(t, 300, busySlowdown)
+	var lines []tbcontrol.Log
+	s.observe = logObserver(func(l tbcontrol.Log) {
+		if l.Message == "workers and waiting tasks" {
+			lines = append(lines, l)
+		}
+	})
+	s.silence(100, 3*time.Second)
+	s.submitLoad(baseRates, 4*time.Second)
+	qt.Assert(t, len(lines) >= 3 && len(lines) <= 5, qt.IsTrue, qt.Commentf("%d lines in 4 s", len(lines)))
+	fields := map[any]any{}
+	args := lines[len(lines)-2].Args
+	for i := 0; i < len(args); i += 2 {
+		fields[args[i]] = args[i+1]
+	}
+	qt.Check(t, fields["workers"], qt.Equals, 300)
+	usable := fields["usable"].(int)
+	qt.Check(t, usable > 0 && usable < 300, qt.IsTrue, qt.Commentf("%v", fields))
+	qt.Check(t, len(fields["unusable"].([]string)) > 0, qt.IsTrue)
+	qt.Check(t, fields["window"].(int) > 0, qt.IsTrue)
+}
+
+// logObserver calls itself for each log line of any replica.
+type logObserver func(tbcontrol.Log)
+
+func (o logObserver) step(r *loadReplica, now time.Time, ev tbcontrol.Event) []tbcontrol.Effect {
+	effects := r.control.Step(now, ev)
+	for _, e := range effects {
+		if l, ok := e.(tbcontrol.Log); ok {
+			o(l)
+		}
+	}
+	return effects
+}
--- a/core/tbfleet/fleet_bench_test.go
+++ b/core/tbfleet/fleet_bench_test.go
@@ -50,14 +50,3 @@
 		})
 	}
 }
-
-func BenchmarkCountUnusable(b *testing.B) {
-	f, _ := newFleetWithReports(1800)
-	now := time.UnixMilli(1_700_000_000_100)
-	b.ReportAllocs()
-	for b.Loop() {
-		if f.CountUnusable(now)[tbfleet.NotUnusable] != 1800 {
-			b.Fatal("a worker is unusable")
-		}
-	}
-}
--- a/core/tbfleet/unusable.go
+++ b/core/tbfleet/unusable.go
@@ -91,16 +91,6 @@
 	return NotUnusable
 }
 
-// CountUnusable returns how many workers of the fleet may get no new task now, by reason. The number at NotUnusable is
-// that of the workers that may.
-func (f *Fleet) CountUnusable(now time.Time) [UnusableReasonCount]int {
-	var counts [UnusableReasonCount]int
-	for _, w := range f.sortedWorkers {
-		counts[f.WhyUnusable(w, now)]++
-	}
-	return counts
-}
-
 // avoid gives the worker no new tasks before a time, instead of the time that was set before.
 func (w *Worker) avoid(until time.Time, reason UnusableReason) {
 	w.AvoidUntil, w.avoidReason = until, reason
--- a/core/tbfleet/unusable_test.go
+++ b/core/tbfleet/unusable_test.go
@@ -84,8 +84,6 @@
 		change(f, s, w, now)
 		qt.Check(t, f.WhyUnusable(w, now).String(), qt.Equals, reason.String())
 		qt.Check(t, f.Usable(w, now), qt.Equals, reason == NotUnusable)
-		counts := f.CountUnusable(now)
-		qt.Check(t, counts[reason] > 0, qt.IsTrue, qt.Commentf("%v: %v", reason, counts))
 	}
 }
 
