Name the cause of each failed order in lines and counters

Cause: a start for which no connection was established was logged as refused, like one that the worker refuses; a poll that a later order of the same leader had overtaken was a warning without its token; and there were no counters of either.

Change: starts, stops and polls carry a typed cause, also over relays. Refusals with the reason fence are logged by the sender, which knows the newest term: a warning with both terms if the token is of an earlier one, and the routine line "poll overtaken" otherwise. "worker does not answer" has the cause and the token. Each process counts the orders that it sends by kind, outcome and cause. Outcomes, and what the fleet makes of them, are unchanged.

Limit: a sender that does not know a later term yet logs its refusal as overtaken.

--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -226,6 +226,11 @@
 	CauseConnectRefused = "connectRefused"
 	// CauseConnectFailed is the cause of an order that was not sent for any other reason.
 	CauseConnectFailed = "connectFailed"
+	// CauseTimeout is the cause of an unconfirmed order that was not answered in time.
+	CauseTimeout = "timeout"
+	// CauseStatus begins the other causes of a refusal, which have the status of the response and the reason in it, if
+	// any, as in "status 409 late".
+	CauseStatus = "status "
 	// CauseFence is the cause of a refusal of an order whose token is lower than one that the worker has seen.
 	CauseFence = "fence"
 )
--- a/core/tbfleet/poll.go
+++ b/core/tbfleet/poll.go
@@ -177,7 +177,7 @@
 		return
 	case a.Outcome != Accepted:
 		if !w.Unresponsive {
-			f.output.LogEvents = append(f.output.LogEvents, LogEvent{Message: "worker does not answer", Worker: w.ID, Inputs: w.leaseLogInputs(now)})
+			f.output.LogEvents = append(f.output.LogEvents, LogEvent{Message: "worker does not answer", Worker: w.ID, Detail: a.Cause, Inputs: append(w.leaseLogInputs(now), "token", f.newTarget(w).Token)})
 		}
 		w.Unresponsive = true
 		if a.Cause == CauseDisconnected {
--- a/core/tbfleet/types.go
+++ b/core/tbfleet/types.go
@@ -67,6 +67,9 @@
 	Token uint64
 }
 
+// Term returns the term of the leader that has issued the token.
+func (t Target) Term() uint64 { return t.Token >> serialBits }
+
 // Order is a request to a worker: Start, Stop, Poll or SetSpeed. The caller passes the result to
 // the Fleet method that has the result type in its name, for example HandleStartAnswered for
 // StartAnswered.
@@ -172,6 +175,8 @@
 	Ref         tbflow.TaskRef
 	Run         uint64
 	Outcome     Outcome
+	// Cause says why the order was refused, or why there was no answer.
+	Cause string
 }
 
 // SpeedAnswered is the result of a SetSpeed: its answer, or that there was none.
@@ -235,7 +240,7 @@
 	// LeaseEndMs is the lease's expiry in the poll, or 0 if the poll did not renew the lease.
 	LeaseEndMs int64
 	Outcome    Outcome
-	// Cause says why there was no answer. CauseDisconnected means that the worker closed the connection.
+	// Cause says why the poll was refused, or why there was no answer. CauseDisconnected means that the worker closed the connection.
 	Cause string
 	// ActualIncarnation is the incarnation that answered.
 	ActualIncarnation int64
--- a/io/tbdaemon/orders.go
+++ b/io/tbdaemon/orders.go
@@ -21,7 +21,8 @@
 		r = tbcodec.OrderResult{Outcome: a.Outcome, Cause: a.Cause, SentBefore: a.SentBefore, ClockMs: a.ClockMs}
 	case tbfleet.Stop:
 		latencyName = latencyWorkerStop
-		r = tbcodec.OrderResult{Outcome: d.adapter.Stop(d.ctx, o).Outcome}
+		a := d.adapter.Stop(d.ctx, o)
+		r = tbcodec.OrderResult{Outcome: a.Outcome, Cause: a.Cause}
 	case tbfleet.Poll:
 		latencyName = latencyWorkerPoll
 		a := d.adapter.Poll(d.ctx, o)
@@ -29,12 +30,16 @@
 			Outcome: a.Outcome, Cause: a.Cause, SentBefore: a.SentBefore, ClockMs: a.ClockMs,
 			ActualIncarnation: a.ActualIncarnation, Partial: a.Partial, Running: a.Running, Ended: a.Ended,
 		}
+		if a.Outcome == tbfleet.Refused && a.Cause == tbfleet.CauseFence {
+			d.logFenced(o)
+		}
 	case tbfleet.SetSpeed:
 		latencyName = latencyWorkerSpeed
 		a := d.adapter.SetSpeed(d.ctx, o)
 		r = tbcodec.OrderResult{Outcome: a.Outcome, SentBefore: a.SentBefore}
 	}
 	d.counters.histograms.observe(latencyName, time.Since(start))
+	d.countOrder(order, r)
 	return r
 }
 
@@ -68,6 +73,7 @@
 	case tbfleet.Stop:
 		return tbcontrol.StopAnswered{Term: o.Term, Answer: tbfleet.StopAnswered{
 			Worker: order.Target.ID, Incarnation: order.Target.Incarnation, Ref: order.Ref, Run: order.Run, Outcome: r.Outcome,
+			Cause: r.Cause,
 		}}
 	case tbfleet.SetSpeed:
 		return tbcontrol.SpeedAnswered{Term: o.Term, Answer: tbfleet.SpeedAnswered{
--- a/io/tbdaemon/relay.go
+++ b/io/tbdaemon/relay.go
@@ -85,7 +85,9 @@
 func (s *orderSender) sendDirectly(o tbrelay.PendingOrder) {
 	if s.d.clock.Now().Sub(o.IssuedAt) > maxSendDelay {
 		s.d.counters.add("orders.expired")
-		s.queueResult(o, tbcodec.OrderResult{Outcome: tbfleet.NotSent, Cause: causeExpired})
+		r := tbcodec.OrderResult{Outcome: tbfleet.NotSent, Cause: causeExpired}
+		s.d.countOrder(o.Order, r)
+		s.queueResult(o, r)
 		return
 	}
 	s.queueResult(o, s.d.executeOrder(o.Order))
--- a/io/tbdaemon/relay_handler.go
+++ b/io/tbdaemon/relay_handler.go
@@ -100,6 +100,7 @@
 	} else {
 		d.counters.add("relay.expired")
 		r = tbcodec.OrderResult{Outcome: tbfleet.NotSent, Cause: causeExpired}
+		d.countOrder(order, r)
 	}
 	d.results.add(leader, tbcodec.ResultToWire(id, r, d.clock.Now()))
 }
