Log and count pauses of the process itself

Cause: a process that gets no processor for a while times out its orders, and its log blames the workers and relays.

--- a/io/tbdaemon/daemon.go
+++ b/io/tbdaemon/daemon.go
@@ -240,6 +240,7 @@
 		d.spawn(d.storage.run)
 	}
 	d.spawn(d.loop)
+	d.spawn(func() { d.watchPauses(d.clock.Now) })
 	d.log.Info("serving", "id", d.settings.ID, "dataCentre", d.settings.DataCentre,
 		"callerAddress", d.settings.CallerAddress, "control", d.storage != nil)
 	if d.storage != nil && d.settings.Group != nil {
