Test that starts which were not sent are not failures of their worker

Cause: users saw jobs with nothing running beside idle workers, and starts refused with "context deadline exceeded", several to one worker at a time. Such a start was never sent, and each counts as a failure of its worker. The simulated network can keep connections to workers from being established.

--- a/core/tbcontrol/leader_load_fake_test.go
+++ b/core/tbcontrol/leader_load_fake_test.go
@@ -42,6 +42,8 @@
 	slowdown float64
 	// lostAnswers is the share of starts that are executed although their answers get lost.
 	lostAnswers float64
+	// disconnectedUntil is the time until which no connection to a worker is established, so that no order is sent.
+	disconnectedUntil time.Time
 	// workerDelay is the time that an order takes to a worker, and that its answer takes back.
 	workerDelay time.Duration
 	runTimes    map[string]time.Duration
@@ -481,6 +483,10 @@
 
 // execute lets a worker execute an order.
 func (s *loadSimulation) execute(r *loadReplica, e tbcontrol.SendOrder) {
+	if s.now.Before(s.disconnectedUntil) {
+		s.refuseUnsent(r, e)
+		return
+	}
 	switch o := e.Order.(type) {
 	case tbfleet.Start:
 		w := s.byID[o.Target.ID]
@@ -520,6 +526,29 @@
 	}
 }
 
+// refuseUnsent reports after the timeout of an order that it was not sent.
+func (s *loadSimulation) refuseUnsent(r *loadReplica, e tbcontrol.SendOrder) {
+	const cause = "no connection"
+	switch o := e.Order.(type) {
+	case tbfleet.Start:
+		s.answerAfter(o.Timeout, r, tbcontrol.StartAnswered{Term: e.Term, Answer: tbfleet.StartAnswered{
+			Worker: o.Target.ID, Incarnation: o.Target.Incarnation, Ref: o.Ref, Run: o.Run, Outcome: tbfleet.Refused, Cause: cause,
+		}})
+	case tbfleet.Stop:
+		s.answerAfter(o.Timeout, r, tbcontrol.StopAnswered{Term: e.Term, Answer: tbfleet.StopAnswered{
+			Worker: o.Target.ID, Incarnation: o.Target.Incarnation, Ref: o.Ref, Run: o.Run, Outcome: tbfleet.Refused,
+		}})
+	case tbfleet.SetSpeed:
+		s.answerAfter(o.Timeout, r, tbcontrol.SpeedAnswered{Term: e.Term, Answer: tbfleet.SpeedAnswered{
+			Worker: o.Target.ID, Incarnation: o.Target.Incarnation, Ref: o.Ref, Run: o.Run, Percent: o.Percent, Outcome: tbfleet.Refused,
+		}})
+	case tbfleet.Poll:
+		s.answerAfter(o.Timeout, r, tbcontrol.PollAnswered{Term: e.Term, Answer: tbfleet.PollAnswered{
+			Worker: o.Target.ID, Incarnation: o.Target.Incarnation, SentAt: e.IssuedAt, LeaseEndMs: o.LeaseEndMs, Outcome: tbfleet.Refused, Cause: cause,
+		}})
+	}
+}
+
 func (s *loadSimulation) answerAfter(d time.Duration, r *loadReplica, ev tbcontrol.Event) {
 	s.at(s.now.Add(d), func() {
 		if !r.stopped {
--- /dev/null
+++ b/core/tbfleet/unsent_starts_test.go
@@ -0,0 +1,43 @@
+package tbfleet
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// answerPolls lets the workers answer the polls in flight.
+func answerPolls(f *Fleet, now time.Time) {
+	for _, o := range f.TakeOutput().Orders {
+		if p, ok := o.(Poll); ok {
+			f.HandlePollAnswered(now, PollAnswered{
+				Worker: p.Target.ID, Incarnation: 1, ActualIncarnation: 1, SentAt: now, LeaseEndMs: p.LeaseEndMs, Outcome: Accepted, ClockMs: now.UnixMilli() - 1_699_999_999_999,
+			})
+		}
+	}
+}
+
+// Guards against workers that are avoided for seconds because connections to them were slow: several starts to each of
+// them were not sent in time.
+func TestUnsentStartsAreNotFailuresOfTheWorker(t *testing.T) {
+	f, s, now := newStartsFixture(t)
+	answerPolls(f, now)
+	task := 0
+	for range 5 {
+		for range 3 {
+			a := orderStart(f, s, now, task, "a")
+			task++
+			f.HandleStartAnswered(now.Add(400*time.Millisecond), StartAnswered{
+				Worker: "a", Incarnation: 1, Ref: a.Ref, Run: a.Run, Outcome: Refused, Cause: "context deadline exceeded",
+			})
+		}
+		now = now.Add(400 * time.Millisecond)
+		qt.Check(t, f.Usable(f.Worker("a"), now), qt.IsFalse)
+		now = now.Add(400 * time.Millisecond)
+		f.Tick(now)
+		answerPolls(f, now)
+		f.Tick(now)
+	}
+	qt.Check(t, f.Usable(f.Worker("a"), now), qt.IsTrue, qt.Commentf("avoided for %v", f.Worker("a").AvoidUntil.Sub(now)))
+}
