Do not take starts that were not sent for failures of their worker

Callers saw accepted jobs with nothing running beside idle workers, for seconds after the network was well again. Cause: a start for which no connection was established in time was reported as refused, and each such start added a failure of the worker; several were under way to one worker at once. From the second on the worker is avoided for 1 to 8 s. Starts that were overtaken by a later order (fenced), delayed (late) or outdated (old) counted likewise. All of that is evidence about the path or the sender. Change: a start without a connection has the outcome NotSent. Whether its worker gets further tasks is decided by the worker's answer to the next poll, which is sent at once. Refusals as fenced, late or old are no failures. Evidence: TestUnsentStartsAreNotFailuresOfTheWorker and TestJobsStartOnceConnectionsToWorkersAreEstablishedAgain failed before (avoided for 7.6 s; all tasks run 6.75 s after an outage of 2.5 s) and pass now.

--- a/core/tbfleet/faults_fake_test.go
+++ b/core/tbfleet/faults_fake_test.go
@@ -284,6 +284,9 @@
 			if sim.rng.IntN(2) == 0 {
 				sim.leader.fleet.Stop(sim.now, v.ID, ref)
 			} else {
+				if fw := sim.workersByAddress[v.Address]; fw != nil {
+					fw.mayBeAvoided = true
+				}
 				sim.leader.fleet.StopStalled(sim.now, v.ID, ref)
 			}
 			return
--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -57,8 +57,8 @@
 	// from.
 	LastHeardAt time.Time
 	// Failures is the number of failures since the last run that ended successfully. Failed runs
-	// are failures, unless their job failed first on another worker. Refused starts are failures,
-	// unless the worker lacked room.
+	// are failures, unless their job failed first on another worker. Starts that the worker refused are
+	// failures, unless it lacked room or the start was overtaken or delayed on its way.
 	Failures int
 	// AvoidUntil is the time before which the worker gets no new tasks.
 	AvoidUntil time.Time
@@ -77,6 +77,9 @@
 
 	// avoidReason says why the worker gets no new tasks before AvoidUntil.
 	avoidReason UnusableReason
+	// unreachedAt is when the worker was last found not to be reached by a start. It is zero once the worker has
+	// answered an order since.
+	unreachedAt time.Time
 	// answeredAt is when this incarnation last answered a poll of this leader, or zero.
 	answeredAt time.Time
 	// registered is true from the first report until the worker signs off or is replaced. A
--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -155,7 +155,7 @@
 			f.markStartedByLaterIncarnation(now, w, a, run)
 			break
 		}
-		w.LastHeardAt = now
+		w.LastHeardAt, w.unreachedAt = now, time.Time{}
 		if run.Phase == RunOrdered {
 			run.Phase, run.confirmedAt = RunExecuting, now
 			run.noteExecuting(a.ClockMs)
@@ -167,6 +167,7 @@
 		f.markReplaced(now, w)
 	case NotSent:
 		f.output.LogEvents = append(f.output.LogEvents, LogEvent{Message: "start not sent", Worker: w.ID, Ref: a.Ref, Run: a.Run, Detail: a.Cause})
+		w.unreachedAt = now
 		f.proposeNeverRan(w, w.Incarnation, a.Ref, run)
 	case Unconfirmed:
 		f.output.LogEvents = append(f.output.LogEvents, LogEvent{Message: "start not answered", Worker: w.ID, Ref: a.Ref, Run: a.Run, Detail: a.Cause})
@@ -198,16 +199,16 @@
 }
 
 func (f *Fleet) handleStartRefused(now time.Time, w *Worker, a StartAnswered, run *Run) {
-	message, reason := "start refused", AvoidedRefusedStart
-	if IsUnsent(a.Cause) {
-		message, reason = "start not sent", AvoidedUnsentStart
-	}
-	f.output.LogEvents = append(f.output.LogEvents, LogEvent{Message: message, Worker: w.ID, Ref: a.Ref, Run: a.Run, Detail: a.Cause})
-	if a.Cause == CauseNoRoom {
+	f.output.LogEvents = append(f.output.LogEvents, LogEvent{Message: "start refused", Worker: w.ID, Ref: a.Ref, Run: a.Run, Detail: a.Cause})
+	w.unreachedAt = time.Time{}
+	switch a.Cause {
+	case CauseNoRoom:
 		w.avoid(now.Add(noRoomBackoff), AvoidedNoRoom)
-	} else {
-		w.avoidLonger(now.Add(failedStartBackoff), reason)
-		f.addFailure(now, w, reason)
+	case CauseFence, CauseLate, CauseOld:
+		// The order was overtaken or delayed on its way, which says nothing about the worker.
+	default:
+		w.avoidLonger(now.Add(failedStartBackoff), AvoidedRefusedStart)
+		f.addFailure(now, w, AvoidedRefusedStart)
 	}
 	f.proposeNeverRan(w, w.Incarnation, a.Ref, run)
 }
@@ -216,6 +217,10 @@
 const (
 	// CauseNoRoom is the cause of a refusal for lack of capacity.
 	CauseNoRoom = "noRoom"
+	// CauseLate is the cause of a refusal of a start whose lease had expired when the start arrived.
+	CauseLate = "late"
+	// CauseOld is the cause of a refusal of a run that is not higher than one that was stopped or has ended there.
+	CauseOld = "old"
 	// CauseDisconnected is the cause of an unconfirmed start or poll if the worker closed the connection
 	// before it answered.
 	CauseDisconnected = "disconnected"
@@ -229,7 +234,7 @@
 	// CauseTimeout is the cause of an unconfirmed order that was not answered in time.
 	CauseTimeout = "timeout"
 	// CauseStatus begins the other causes of a refusal, which have the status of the response and the reason in it, if
-	// any, as in "status 409 late".
+	// any, as in "status 409 ticket".
 	CauseStatus = "status "
 	// CauseFence is the cause of a refusal of an order whose token is lower than one that the worker has seen.
 	CauseFence = "fence"
--- a/core/tbfleet/permits.go
+++ b/core/tbfleet/permits.go
@@ -15,9 +15,11 @@
 	incarnation int64
 }
 
-// isUnreached reports whether the worker has not answered any poll of this leader, or the last poll
-// failed.
-func (w *Worker) isUnreached() bool { return !w.hasAnswered || w.Unresponsive }
+// isUnreached reports whether the worker has not answered any poll of this leader, the last poll
+// failed, or the last start was not sent.
+func (w *Worker) isUnreached() bool {
+	return !w.hasAnswered || w.Unresponsive || !w.unreachedAt.IsZero()
+}
 
 // acquirePermit reports whether a poll may be sent now. An unreached worker needs a permit, which
 // acquirePermit takes if one is free. Half of the permits are reserved for workers with runs,
--- a/core/tbfleet/poll.go
+++ b/core/tbfleet/poll.go
@@ -24,7 +24,7 @@
 // reconcile gives up the runs of a lost worker, and sends a registered worker the orders that are
 // due.
 func (f *Fleet) reconcile(now time.Time, w *Worker) {
-	if len(w.runs) == 0 && w.lastAckedEnd >= w.lastRecordedEnd && !w.Unresponsive && !w.needsFence && !f.outstanding.existAt(w) {
+	if len(w.runs) == 0 && w.lastAckedEnd >= w.lastRecordedEnd && !w.Unresponsive && w.unreachedAt.IsZero() && !w.needsFence && !f.outstanding.existAt(w) {
 		return
 	}
 	if (!w.registered || w.Unresponsive) && now.After(w.leaseExpiresAt) {
@@ -73,7 +73,7 @@
 		w.ackInFlight = true
 	}
 	timeToSettle := f.timeToSettle(now, w)
-	mayWait := w.hasAnswered && !w.Unresponsive && !w.needsRecheck() && !f.isSilent(w.ID) && timeToSettle >= 0
+	mayWait := w.hasAnswered && !w.Unresponsive && w.unreachedAt.IsZero() && !w.needsRecheck() && !f.isSilent(w.ID) && timeToSettle >= 0
 	hasUnansweredStart := f.hasUnansweredStart(w)
 	if f.mayRenew(now, w) {
 		poll.LeaseEndMs = f.renewLease(now, w)
@@ -199,7 +199,7 @@
 		// longest lease.
 		w.leaseExpiresAt = maxTime(w.leaseExpiresAt, now.Add(f.maxLeaseDuration(f.params.MaxLease)))
 	}
-	w.Unresponsive, w.hasAnswered, w.needsFence = false, true, false
+	w.Unresponsive, w.hasAnswered, w.needsFence, w.unreachedAt = false, true, false, time.Time{}
 	if a.LeaseEndMs > 0 {
 		w.renewalAnsweredFrom = a.SentAt
 	}
--- a/core/tbfleet/schedule_test.go
+++ b/core/tbfleet/schedule_test.go
@@ -222,6 +222,7 @@
 			if sim.now.Sub(fw.startedAt)%heartbeatInterval < tick {
 				sim.sendReport(fw)
 			}
+			sim.checkAvoided(fw)
 		})
 		sim.advanceLeader(n)
 		if sim.injectsFaults && sim.rng.Float64() < faultRatePerTick {
@@ -302,6 +303,22 @@
 	}
 }
 
+// maxAvoidedWithoutFailure is how long a worker may be avoided that has not failed.
+const maxAvoidedWithoutFailure = 300 * time.Millisecond
+
+// checkAvoided checks that a worker that has not failed is not avoided for long, whatever has happened to orders on their
+// way.
+func (sim *simulation) checkAvoided(fw *fakeWorker) {
+	sim.t.Helper()
+	if fw.mayBeAvoided || sim.leader == nil {
+		return
+	}
+	v := sim.leader.fleet.Worker(fw.id)
+	if v != nil && v.Incarnation == fw.incarnation && v.AvoidUntil.Sub(sim.now) > maxAvoidedWithoutFailure {
+		sim.failf("%s/%d is avoided until %d, but has not failed", fw.id, fw.incarnation, v.AvoidUntil.UnixMilli()%1_000_000)
+	}
+}
+
 // checkUsable checks that each worker is usable and starts a task that it gets.
 func (sim *simulation) checkUsable() {
 	sim.t.Helper()
--- a/core/tbfleet/types.go
+++ b/core/tbfleet/types.go
@@ -144,7 +144,8 @@
 	// OtherWorker means that a worker with another ID answered at the address.
 	OtherWorker
 	// NotSent means that the order was given up before it was sent to the worker, for example
-	// because the sending process was suspended for too long.
+	// because the sending process was suspended for too long, or because no connection to the worker was
+	// established in time. It does not tell whether the worker could have received the order.
 	NotSent
 )
 
--- a/core/tbfleet/unusable.go
+++ b/core/tbfleet/unusable.go
@@ -17,6 +17,8 @@
 	Silent
 	// Unresponsive means that the last poll failed.
 	Unresponsive
+	// Unreached means that a start was not sent to the worker, and that it has not answered an order since.
+	Unreached
 	// Lapsing means that the lease of the worker has to end first.
 	Lapsing
 	// NotPolled means that this incarnation has not answered a poll since it became known, or since the takeover.
@@ -33,8 +35,6 @@
 	AvoidedNoRoom
 	// AvoidedRefusedStart means that the worker has refused a start for another reason.
 	AvoidedRefusedStart
-	// AvoidedUnsentStart means that no connection to the worker was established for a start.
-	AvoidedUnsentStart
 	// AvoidedUnansweredStart means that the worker has not answered a start.
 	AvoidedUnansweredStart
 	// AvoidedStalledRun means that a run on the worker has made no progress.
@@ -48,10 +48,9 @@
 )
 
 var unusableReasonNames = [UnusableReasonCount]string{
-	NotUnusable: "none", NotRegistered: "notRegistered", Draining: "draining", Silent: "silent", Unresponsive: "unresponsive", Lapsing: "lapsing",
+	NotUnusable: "none", NotRegistered: "notRegistered", Draining: "draining", Silent: "silent", Unresponsive: "unresponsive", Unreached: "unreached", Lapsing: "lapsing",
 	NotPolled: "notPolled", ClockUnknown: "clockUnknown", UnackedEnds: "unackedEnds", NotHeard: "notHeard", AvoidedFailures: "avoidedFailures",
-	AvoidedNoRoom: "avoidedNoRoom", AvoidedRefusedStart: "avoidedRefusedStart", AvoidedUnsentStart: "avoidedUnsentStart",
-	AvoidedUnansweredStart: "avoidedUnansweredStart", AvoidedStalledRun: "avoidedStalledRun", Observed: "observed", OverdueStart: "overdueStart",
+	AvoidedNoRoom: "avoidedNoRoom", AvoidedRefusedStart: "avoidedRefusedStart", AvoidedUnansweredStart: "avoidedUnansweredStart", AvoidedStalledRun: "avoidedStalledRun", Observed: "observed", OverdueStart: "overdueStart",
 }
 
 // String returns the name of the reason in the log.
@@ -71,6 +70,8 @@
 		return Silent
 	case w.Unresponsive:
 		return Unresponsive
+	case !w.unreachedAt.IsZero():
+		return Unreached
 	case w.lapse == lapsing:
 		return Lapsing
 	case w.needsFence:
--- a/io/tbdaemon/order_counters.go
+++ b/io/tbdaemon/order_counters.go
@@ -49,7 +49,7 @@
 // causeName returns the name of a cause in a counter. Texts of errors have none, because there may be any number of them.
 func causeName(cause string) string {
 	switch cause {
-	case tbfleet.CauseNoRoom, tbfleet.CauseFence, tbfleet.CauseDisconnected, tbfleet.CauseTimeout,
+	case tbfleet.CauseNoRoom, tbfleet.CauseFence, tbfleet.CauseLate, tbfleet.CauseOld, tbfleet.CauseDisconnected, tbfleet.CauseTimeout,
 		tbfleet.CauseConnectTimeout, tbfleet.CauseConnectRefused, tbfleet.CauseConnectFailed:
 		return cause
 	case causeExpired:
