Let a long-running task that finishes its start-up end a series of failures

Callers saw nothing of this alone; together with failures that were none it kept work off workers. Cause: only an end as done set the failures of a worker back. Change: the count is also set back when a long-running task has finished its start-up.

--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -56,9 +56,10 @@
 	// LastHeardAt so far into the past that the worker gets no new tasks until the worker is heard
 	// from.
 	LastHeardAt time.Time
-	// Failures is the number of failures since the last run that ended successfully. Failed runs
-	// are failures, unless their job failed first on another worker. Starts that the worker refused are
-	// failures, unless it lacked room or the start was overtaken or delayed on its way.
+	// Failures is the number of failures since the last run that ended successfully, or the last
+	// long-running task that finished its start-up. Failed runs are failures, unless their job failed
+	// first on another worker. Starts that the worker refused are failures, unless it lacked room or the
+	// start was overtaken or delayed on its way.
 	Failures int
 	// AvoidUntil is the time before which the worker gets no new tasks.
 	AvoidUntil time.Time
--- a/core/tbfleet/poll.go
+++ b/core/tbfleet/poll.go
@@ -279,6 +279,9 @@
 		}
 		run.confirmedAt = maxTime(run.confirmedAt, a.SentAt)
 		run.noteExecuting(a.ClockMs)
+		if run.longRunning && r.Progress == startUpFinished && run.Progress < startUpFinished {
+			w.Failures = 0
+		}
 		if r.Progress != run.Progress || run.ProgressAt.IsZero() || run.Speed < FullSpeed || run.SpeedUnknown || run.speedUnconfirmed {
 			run.ProgressAt = now
 		}
@@ -292,6 +295,9 @@
 	}
 }
 
+// startUpFinished is the progress in percent of a long-running task that has finished its start-up.
+const startUpFinished = 100
+
 // newStray returns a stray, which may be among those of the last poll answer.
 func newStray(now time.Time, earlier []Stray, run tbflow.RunRef) Stray {
 	for _, s := range earlier {
