Test that workers whose answers are slow get and keep tasks

Cause: orders time out after 400 ms whatever the machines' usual answer time is, so that a slow worker that reports is taken for one that is gone. Change: the simulated leader's orders have the production timeout (it was 1 s) and are unconfirmed at it even if the worker executed them; workers can be slow one by one, and end their runs with their lease.

--- a/core/tbcontrol/export_test.go
+++ b/core/tbcontrol/export_test.go
@@ -8,6 +8,9 @@
 // FleetWorker returns the leader's view of a worker, for tests.
 func (c *Control) FleetWorker(id string) *tbfleet.Worker { return c.leader.flow.fleet.Worker(id) }
 
+// Fleet returns the leader's view of the workers, for tests.
+func (c *Control) Fleet() *tbfleet.Fleet { return c.leader.flow.fleet }
+
 // ProposeFlowChange proposes a command, for tests.
 func (c *Control) ProposeFlowChange(command tbflow.Command) { c.proposeFlowChange(command) }
 
--- a/core/tbcontrol/leader_load_fake_test.go
+++ b/core/tbcontrol/leader_load_fake_test.go
@@ -42,8 +42,10 @@
 	slowdown float64
 	// lostAnswers is the share of starts that are executed although their answers get lost.
 	lostAnswers float64
-	// workerDelay is the time that an order takes to a worker, and that its answer takes back.
+	// workerDelay is the time that an order takes to a worker, and that its answer takes back. slowWorkers holds the
+	// same time for workers that differ.
 	workerDelay time.Duration
+	slowWorkers map[string]time.Duration
 	runTimes    map[string]time.Duration
 	lastRequest uint64
 	jobs        []*loadJob
@@ -146,6 +148,9 @@
 	ackedEnds   uint64
 	poll        *loadPoll
 	token       uint64
+	// leaseEndMs is the end of the lease. watchesLease is true while a timer ends the runs then.
+	leaseEndMs   int64
+	watchesLease bool
 }
 
 // loadRun is a run on a worker. endsAt is zero for a long-running task.
@@ -209,7 +214,7 @@
 			Placement: tbplacement.DefaultConfig(), PlacementInterval: 50 * time.Millisecond, GrantInterval: 250 * time.Millisecond,
 			Fleet: tbfleet.Params{
 				Lease: 6 * time.Second, MaxLease: 6 * time.Second, MaxOrderDelay: 12 * time.Second, MaxDeliveryDelay: 12 * time.Second, ClockRateBound: 0.02,
-				PollWait: loadPollWait, OrderTimeout: time.Second, SilenceTimeout: 3 * time.Second, PollRetryDelay: 250 * time.Millisecond,
+				PollWait: loadPollWait, OrderTimeout: 400 * time.Millisecond, SilenceTimeout: 3 * time.Second, PollRetryDelay: 250 * time.Millisecond,
 			},
 		}, tbcodec.New(func(source []byte) (tbbundle.Bundle, error) { return tbbundlefile.Parse("bundle", source) }),
 			tbconsensus.PersistedState{Initial: tbconsensus.Membership{Members: members}}, s.now)
@@ -424,7 +429,7 @@
 			}
 		}
 	case tbcontrol.SendOrder:
-		s.at(done.Add(s.workerDelay), func() { s.execute(r, e) })
+		s.at(done.Add(s.delayOf(targetOf(e.Order).ID)), func() { s.execute(r, e) })
 	}
 }
 
@@ -493,6 +498,7 @@
 			a.Outcome = tbfleet.Refused
 		} else {
 			w.token = o.Target.Token
+			s.renewLease(w, o.LeaseEndMs)
 			s.start(w, o)
 			a.Outcome, a.ClockMs = tbfleet.Accepted, s.clockMs()
 		}
@@ -501,7 +507,7 @@
 			s.answerAfter(o.Timeout, r, tbcontrol.StartAnswered{Term: e.Term, Answer: a})
 			return
 		}
-		s.answerAfter(s.workerDelay, r, tbcontrol.StartAnswered{Term: e.Term, Answer: a})
+		s.answerInTime(r, e.IssuedAt.Add(o.Timeout), tbcontrol.StartAnswered{Term: e.Term, Answer: a})
 	case tbfleet.Stop:
 		w := s.byID[o.Target.ID]
 		a := tbfleet.StopAnswered{Worker: w.id, Incarnation: w.incarnation, Ref: o.Ref, Run: o.Run}
@@ -511,10 +517,10 @@
 		}
 		a.Outcome = tbfleet.Accepted
 		s.end(w, o.Ref, o.Run, tbflow.EndStopped)
-		s.answerAfter(s.workerDelay, r, tbcontrol.StopAnswered{Term: e.Term, Answer: a})
+		s.answerInTime(r, e.IssuedAt.Add(o.Timeout), tbcontrol.StopAnswered{Term: e.Term, Answer: a})
 	case tbfleet.SetSpeed:
 		a := tbfleet.SpeedAnswered{Worker: o.Target.ID, Incarnation: o.Target.Incarnation, Ref: o.Ref, Run: o.Run, Percent: o.Percent, Outcome: tbfleet.Accepted}
-		s.answerAfter(s.workerDelay, r, tbcontrol.SpeedAnswered{Term: e.Term, Answer: a})
+		s.answerInTime(r, e.IssuedAt.Add(o.Timeout), tbcontrol.SpeedAnswered{Term: e.Term, Answer: a})
 	case tbfleet.Poll:
 		s.poll(r, e, o)
 	}
@@ -568,12 +574,13 @@
 		return
 	}
 	if o.Target.Token < w.token {
-		s.answerAfter(s.workerDelay, r, tbcontrol.PollAnswered{Term: e.Term, Answer: tbfleet.PollAnswered{
+		s.answerInTime(r, e.IssuedAt.Add(o.Timeout), tbcontrol.PollAnswered{Term: e.Term, Answer: tbfleet.PollAnswered{
 			Worker: w.id, Incarnation: w.incarnation, SentAt: e.IssuedAt, LeaseEndMs: o.LeaseEndMs, Outcome: tbfleet.Refused,
 		}})
 		return
 	}
 	w.token = o.Target.Token
+	s.renewLease(w, o.LeaseEndMs)
 	for len(w.ended) > 0 && w.ended[0].Number <= o.LastRecordedEnd {
 		w.ackedEnds, w.ended = w.ended[0].Number, w.ended[1:]
 	}
@@ -605,7 +612,7 @@
 	for ref, run := range w.running {
 		a.Running = append(a.Running, tbfleet.ListedRun{Ref: ref, Run: run.number, Progress: run.progress(s.now), Measurement: 10})
 	}
-	s.answerAfter(s.workerDelay, p.from, tbcontrol.PollAnswered{Term: p.term, Answer: a})
+	s.answerInTime(p.from, p.sentAt.Add(p.order.Timeout), tbcontrol.PollAnswered{Term: p.term, Answer: a})
 }
 
 // submit submits a job, again each 200 ms until a leader has answered.
