Let the timeout of orders follow the answer times of each worker

Cause: orders timed out after 400 ms whatever a machine's usual answer time is. All starts at a slower worker were unconfirmed and stopped, all polls failed, and the worker lost its lease although it reported and worked. Change: the timeout is the bound of RFC 6298 for each worker, at least orderTimeout; it doubles while a worker that reports leaves orders unanswered, up to half of what a lease leaves between two renewals. What counts as overdue and the window of best-effort starts use the same bounds. MaxOrderDelay contains the longest timeout, because an order of which it is not known when it was sent may be sent again until then (the present 400 ms and the waits of polls were not contained before).

--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -110,6 +110,13 @@
 	// lastAckedEnd is the highest end number that an accepted poll has acknowledged.
 	lastAckedEnd uint64
 	pollInFlight bool
+	// pollWait is how long the worker may hold the last poll open.
+	pollWait time.Duration
+	// answers estimates how long orders to the worker take to be answered. backedOffTimeout is their timeout after one without an
+	// answer, or 0, and backedOffAt is when it last changed.
+	answers          timeEstimate
+	backedOffTimeout time.Duration
+	backedOffAt      time.Time
 	// nextPollAt is the earliest time of the next poll.
 	nextPollAt time.Time
 	// ackInFlight is true while the worker may still execute a poll that acknowledges ends and
--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -88,7 +88,7 @@
 	f.trackStart(now, w, run, j.Steps[a.Ref.Step].BestEffort)
 	f.addOrder(Start{
 		Target: f.newTarget(w), Ref: a.Ref, Run: a.Run, Spec: j.Spec, Checkpoint: t.Checkpoint,
-		LeaseEndMs: f.renewLease(now, w), Timeout: f.params.OrderTimeout,
+		LeaseEndMs: f.renewLease(now, w), Timeout: f.orderTimeout(w),
 	})
 	f.reconcile(now, w)
 }
@@ -177,6 +177,8 @@
 			run.isConfirmed = true
 			run.noteAccepted(run.startSentAt)
 			w.noteDisconnect(now)
+		} else {
+			f.noteTimeout(now, w, run.startSentAt)
 		}
 		w.AvoidUntil = maxTime(w.AvoidUntil, now.Add(failedStartBackoff))
 	}
--- a/core/tbfleet/poll.go
+++ b/core/tbfleet/poll.go
@@ -52,11 +52,11 @@
 		return
 	}
 	w.nextResendAt = now
-	if !run.stopSentAt.IsZero() && now.Sub(run.stopSentAt) < stopResendPause {
+	if !run.stopSentAt.IsZero() && now.Sub(run.stopSentAt) < max(stopResendPause, f.orderTimeout(w)) {
 		return
 	}
 	run.stopSentAt = now
-	f.addOrder(Stop{Target: f.newTarget(w), Ref: ref, Run: run.Number, Timeout: f.params.OrderTimeout})
+	f.addOrder(Stop{Target: f.newTarget(w), Ref: ref, Run: run.Number, Timeout: f.orderTimeout(w)})
 }
 
 // pollIfDue sends a poll, except in these cases: a poll is in flight, it is too early for the next
@@ -65,7 +65,7 @@
 	if w.pollInFlight || now.Before(w.nextPollAt) || w.lastProposedEnd > w.lastRecordedEnd || !f.acquirePermit(w) {
 		return
 	}
-	poll := Poll{Target: f.newTarget(w), Timeout: f.params.OrderTimeout}
+	poll := Poll{Target: f.newTarget(w), Timeout: f.orderTimeout(w)}
 	if w.hasAnswered && !w.Unresponsive && w.lastAckedEnd < w.lastRecordedEnd && !w.hasUnconfirmedStart() && !f.holdsAcks(w) {
 		// Ends are acknowledged only to a worker that has answered as this incarnation. Another
 		// incarnation numbers its ends anew, and would discard its own ends with these numbers.
@@ -82,11 +82,11 @@
 	if (len(w.runs) > 0 || f.outstanding.existAt(w)) && mayWait {
 		poll.Wait = min(f.pollWait(), timeToSettle.Truncate(time.Millisecond)+time.Millisecond)
 		if hasUnansweredStart && len(w.runs) > 0 {
-			poll.Wait = max(0, min(poll.Wait, w.renewalAnsweredFrom.Add(f.renewalInterval()).Sub(now).Truncate(time.Millisecond)))
+			poll.Wait = max(0, min(poll.Wait, w.renewalAnsweredFrom.Add(f.params.renewalInterval()).Sub(now).Truncate(time.Millisecond)))
 		}
 		poll.Timeout += poll.Wait
 	}
-	w.pollInFlight, w.pollSuperseded = true, false
+	w.pollInFlight, w.pollSuperseded, w.pollWait = true, false, poll.Wait
 	f.addOrder(poll)
 }
 
@@ -96,14 +96,21 @@
 // savedPollFactor is the factor by which polls stay open for longer while the fleet saves polls.
 const savedPollFactor = 2
 
-// pollWait returns how long a worker holds a poll open. Polls renew the lease, so several of them have to fit
-// into it.
+// pollWait returns how long a worker holds a poll open.
 func (f *Fleet) pollWait() time.Duration {
-	wait := f.params.PollWait
-	if longer := savedPollFactor * wait; f.savesPolls && 2*longer <= f.params.Lease {
+	if f.savesPolls {
+		return f.params.maxPollWait()
+	}
+	return f.params.PollWait
+}
+
+// maxPollWait returns the longest time for which a worker holds a poll open. Polls renew the lease, so several of them have to
+// fit into it.
+func (p Params) maxPollWait() time.Duration {
+	if longer := savedPollFactor * p.PollWait; 2*longer <= p.Lease {
 		return longer
 	}
-	return wait
+	return p.PollWait
 }
 
 // hasUnconfirmedStart reports whether the worker may still execute a start that no answer has
@@ -182,6 +189,8 @@
 		w.Unresponsive = true
 		if a.Cause == CauseDisconnected {
 			w.noteDisconnect(now)
+		} else if a.Outcome == Unconfirmed {
+			f.noteTimeout(now, w, a.SentAt)
 		}
 		// The failed poll may still be executed, even after a later poll was answered.
 		w.fenceOffAck()
@@ -204,6 +213,7 @@
 		w.renewalAnsweredFrom = a.SentAt
 	}
 	w.answeredAt = now
+	w.notePollTime(now.Sub(a.SentAt), w.pollWait)
 	if w.registered {
 		f.endSilence(w.ID)
 	}
@@ -255,7 +265,7 @@
 				f.output.LogEvents = append(f.output.LogEvents, LogEvent{
 					Message: "run is not assigned", Worker: w.ID, Ref: r.Ref, Run: r.Run, Inputs: w.leaseLogInputs(now),
 				})
-				f.addOrder(Stop{Target: f.newTarget(w), Ref: r.Ref, Run: r.Run, Timeout: f.params.OrderTimeout})
+				f.addOrder(Stop{Target: f.newTarget(w), Ref: r.Ref, Run: r.Run, Timeout: f.orderTimeout(w)})
 			}
 			continue
 		}
--- a/core/tbfleet/renewals.go
+++ b/core/tbfleet/renewals.go
@@ -23,14 +23,14 @@
 //
 // Each renewal that gets no answer prolongs the wait for the tasks of a worker that is lost. Most polls of such a worker
 // therefore do not renew the lease, and those that do are answered at once, so that few are in flight when it is lost.
-func (f *Fleet) renewalInterval() time.Duration { return f.params.Lease / renewalsPerLease }
+func (p Params) renewalInterval() time.Duration { return p.Lease / renewalsPerLease }
 
 // mayRenew reports whether a poll may renew the worker's lease now.
 func (f *Fleet) mayRenew(now time.Time, w *Worker) bool {
 	if len(w.runs) == 0 || w.Unresponsive || w.lapse == lapsing || f.isSilent(w.ID) {
 		return false
 	}
-	return !f.hasUnansweredStart(w) || now.Sub(w.renewalAnsweredFrom) >= f.renewalInterval()
+	return !f.hasUnansweredStart(w) || now.Sub(w.renewalAnsweredFrom) >= f.params.renewalInterval()
 }
 
 // hasUnansweredStart reports whether a start to the worker or to its address got no answer and may still be executed.
--- a/core/tbfleet/speed.go
+++ b/core/tbfleet/speed.go
@@ -34,7 +34,7 @@
 func (f *Fleet) sendSpeed(now time.Time, w *Worker, ref tbflow.TaskRef, run *Run) {
 	run.speedSentAt, run.speedUnconfirmed = now, true
 	w.nextResendAt = now
-	f.addOrder(SetSpeed{Target: f.newTarget(w), Ref: ref, Run: run.Number, Percent: run.Speed, Timeout: f.params.OrderTimeout})
+	f.addOrder(SetSpeed{Target: f.newTarget(w), Ref: ref, Run: run.Number, Percent: run.Speed, Timeout: f.orderTimeout(w)})
 }
 
 // reconcileSpeed resends the ordered speed if it is unconfirmed. It also resends the speed while an
--- a/core/tbfleet/starts.go
+++ b/core/tbfleet/starts.go
@@ -18,8 +18,7 @@
 
 // answerTimes estimates the time from the order of a start to the handling of its answer.
 type answerTimes struct {
-	smoothed  time.Duration
-	deviation time.Duration
+	timeEstimate
 	// shortest is the shortest answer time of the current period, which began at periodStart, and
 	// previousShortest that of the period before.
 	shortest         time.Duration
@@ -35,20 +34,15 @@
 		t.shortest, t.previousShortest, t.periodStart = d, t.shortest, now
 	}
 	t.shortest = min(t.shortest, d)
-	if t.smoothed == 0 {
-		t.smoothed, t.deviation = d, d/2
-		return
-	}
-	t.deviation += time.Duration(deviationWeight * float64((t.smoothed-d).Abs()-t.deviation))
-	t.smoothed += time.Duration(answerTimeWeight * float64(d-t.smoothed))
+	t.timeEstimate.observe(d)
 }
 
 // overdueAfter returns the age from which an unanswered start is overdue.
-func (t *answerTimes) overdueAfter(orderTimeout time.Duration) time.Duration {
-	if t.smoothed == 0 {
-		return orderTimeout
+func (f *Fleet) overdueAfter() time.Duration {
+	if f.answers.smoothed == 0 {
+		return f.params.OrderTimeout
 	}
-	return min(orderTimeout, max(2*t.smoothed, t.smoothed+deviationFactor*t.deviation))
+	return min(f.params.maxAnswerTime(), max(2*f.answers.smoothed, f.answers.bound()))
 }
 
 // trackStart records that the start of a run was ordered.
@@ -80,6 +74,7 @@
 	}
 	if a.Outcome == Accepted && run.Phase == RunOrdered {
 		f.answers.observe(now, now.Sub(run.startSentAt))
+		w.noteAnswerTime(now.Sub(run.startSentAt))
 	}
 }
 
@@ -87,12 +82,12 @@
 // timeout, a start says nothing more: its result has come.
 func (f *Fleet) hasOverdueStart(w *Worker, now time.Time) bool {
 	age := now.Sub(w.unansweredSince)
-	return w.unansweredStarts > 0 && f.answers.smoothed > 0 && age > f.answers.overdueAfter(f.params.OrderTimeout) && age < 2*f.params.OrderTimeout
+	return w.unansweredStarts > 0 && f.answers.smoothed > 0 && age > f.overdueAfter() && age < 2*f.orderTimeout(w)
 }
 
 // BestEffortUnderWay returns the number of starts of best-effort tasks that are neither answered nor overdue.
 func (f *Fleet) BestEffortUnderWay(now time.Time) int {
-	overdueAfter := f.answers.overdueAfter(f.params.OrderTimeout)
+	overdueAfter := f.overdueAfter()
 	n := 0
 	for n < len(f.bestEffortStarts) {
 		run := f.bestEffortStarts[n]
@@ -116,5 +111,8 @@
 	return f.answers.smoothed, min(f.answers.shortest, f.answers.previousShortest)
 }
 
-// OrderTimeout returns the time after which an order without an answer is unconfirmed.
-func (f *Fleet) OrderTimeout() time.Duration { return f.params.OrderTimeout }
+// OrderTimeout returns the time after which an order without an answer is unconfirmed at a worker whose answers take the usual
+// time.
+func (f *Fleet) OrderTimeout() time.Duration {
+	return min(max(f.params.OrderTimeout, f.answers.bound()), f.params.maxAnswerTime())
+}
--- a/core/tbfleet/types.go
+++ b/core/tbfleet/types.go
@@ -14,8 +14,9 @@
 	// MaxLease is the longest lease that any earlier leader may have granted.
 	MaxLease time.Duration
 	// MaxOrderDelay is the longest time from the decision of the Fleet on an order to the execution of
-	// the order by a worker. It contains MaxDeliveryDelay and the longest time until the order is sent,
-	// by the leader or by a relay.
+	// the order by a worker. It contains MaxDeliveryDelay, the longest time until the order is sent, by the
+	// leader or by a relay, and LongestTimeout, because parts of an order without an answer may be sent again
+	// until then.
 	MaxOrderDelay time.Duration
 	// MaxDeliveryDelay is the longest time from the sending of an order, which SentBefore in its result
 	// bounds, to its execution by a worker.
@@ -25,7 +26,7 @@
 	ClockRateBound float64
 	// PollWait is how long a worker holds a poll open while no run ends.
 	PollWait time.Duration
-	// OrderTimeout is the time without an answer after which an order is unconfirmed.
+	// OrderTimeout is the least time without an answer after which an order is unconfirmed.
 	OrderTimeout time.Duration
 	// SilenceTimeout is the time without a report, an accepted start or an answered poll after
 	// which a worker gets no new tasks.
--- a/io/tbdaemon/config.go
+++ b/io/tbdaemon/config.go
@@ -99,14 +99,14 @@
 			WorkerSpeeds: s.Scheduling.WorkerSpeeds,
 		},
 		Fleet: tbfleet.Params{
-			// MaxOrderDelay includes the time for which the leader may hold back an order before it issues
-			// it, the time until the order is sent or passed to a relay, and that until the relay sends it.
 			Lease: s.Workers.Lease, MaxLease: s.Workers.MaxLease, ClockRateBound: s.Workers.ClockRateBound,
-			MaxOrderDelay: s.Workers.MaxOrderDelay + maxOrderHold(s) + 2*maxSendDelay, MaxDeliveryDelay: s.Workers.MaxOrderDelay,
-			PollWait: s.Workers.PollWait, OrderTimeout: s.Workers.OrderTimeout,
+			MaxDeliveryDelay: s.Workers.MaxOrderDelay, PollWait: s.Workers.PollWait, OrderTimeout: s.Workers.OrderTimeout,
 			SilenceTimeout: s.Workers.SilenceTimeout, PollRetryDelay: workerRetryInterval,
 		},
 	}
+	// MaxOrderDelay includes the time for which the leader may hold back an order before it issues it, the time until
+	// the order is sent or passed to a relay, that until the relay sends it, and its timeout.
+	cfg.Fleet.MaxOrderDelay = cfg.Fleet.MaxDeliveryDelay + maxOrderHold(s) + 2*maxSendDelay + cfg.Fleet.LongestTimeout()
 	if s.Group != nil {
 		cfg.GroupSize = 2*s.Group.Tolerance + 1
 	}
