Do not charge workers with results that a relay has lost

Cause: an order whose relay was lost, or returned no result in time, counted as one that its worker did not answer. All workers whose orders were in flight through a slow relay became unresponsive: no tasks, no renewals, and another poll only 250 ms later. Change: such a result has a cause of its own. The poll is repeated within 50 ms; a second one in a row without a result counts as unanswered. A start without a result is stopped as before, but does not keep tasks from its worker. The relay's address is in the log of the relay, not in the cause, so the test of the cause compares with the constant. Schedules with slow workers lose such results; half of their late orders are executed as late as possible.

--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -110,6 +110,8 @@
 	// lastAckedEnd is the highest end number that an accepted poll has acknowledged.
 	lastAckedEnd uint64
 	pollInFlight bool
+	// pollWasLost is true if the relay that got the last poll returned no result, until a poll is answered.
+	pollWasLost bool
 	// pollWait is how long the worker may hold the last poll open.
 	pollWait time.Duration
 	// answers estimates how long orders to the worker take to be answered. backedOffTimeout is their timeout after one without an
--- a/core/tbfleet/network_fake_test.go
+++ b/core/tbfleet/network_fake_test.go
@@ -51,6 +51,8 @@
 	// maxAnswerDelay.
 	slowAnswerRate = 0.1
 	maxAnswerDelay = 500 * time.Millisecond
+	// lostResultRate is the fraction of orders, in schedules with slow workers, whose relay is lost before their timeout.
+	lostResultRate = 0.03
 	// minSlowAnswer and maxSlowAnswer bound the answer times of a slow worker.
 	minSlowAnswer = 500 * time.Millisecond
 	maxSlowAnswer = 1300 * time.Millisecond
@@ -102,6 +104,10 @@
 		}
 		if resendTime := sim.resendTime(timeLeft); resendTime > 0 {
 			delay += time.Duration(sim.slowRNG.Int64N(int64(resendTime)))
+			if sim.slowRNG.IntN(2) == 0 {
+				// It is executed as late as possible.
+				delay = sentAt.Sub(issuedAt) + resendTime + maxDeliveryDelay - tick
+			}
 		}
 	} else if sim.partitionFrom(target.Address, l).losesOrders {
 		answer := unconfirmed
@@ -112,6 +118,11 @@
 		return
 	}
 	deliverNoAnswer := func() { sim.deliverAnswer(l, issuedAt, c, unconfirmed) }
+	if sim.slowRNG != nil && sim.injectsFaults && sim.slowRNG.Float64() < lostResultRate {
+		answerLost = true
+		unconfirmed = withoutResult(failedAnswer(c, tbfleet.Unconfirmed))
+		timeout = time.Duration(sim.slowRNG.Int64N(int64(timeout)))
+	}
 	if answerLost {
 		sim.schedule(timeout, deliverNoAnswer)
 	}
@@ -211,6 +222,19 @@
 	return answer
 }
 
+// withoutResult returns the result of an order of which its relay returned none.
+func withoutResult(answer any) any {
+	switch a := answer.(type) {
+	case tbfleet.StartAnswered:
+		a.Cause = tbfleet.CauseNoResult
+		return a
+	case tbfleet.PollAnswered:
+		a.Cause = tbfleet.CauseNoResult
+		return a
+	}
+	return answer
+}
+
 // deliver lets fw, the current incarnation at the order's address, execute an order and returns the
 // answer. fw is nil if no worker is at the address.
 func (sim *simulation) deliver(fw *fakeWorker, c tbfleet.Order, isLate bool) any {
--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -173,14 +173,17 @@
 		if run.Phase == RunOrdered {
 			run.Phase, run.stopRequested = RunUnconfirmed, true
 		}
-		if a.Cause == CauseDisconnected {
+		switch a.Cause {
+		case CauseNoResult:
+		case CauseDisconnected:
 			run.isConfirmed = true
 			run.noteAccepted(run.startSentAt)
 			w.noteDisconnect(now)
-		} else {
+			w.AvoidUntil = maxTime(w.AvoidUntil, now.Add(failedStartBackoff))
+		default:
 			f.noteTimeout(now, w, run.startSentAt)
+			w.AvoidUntil = maxTime(w.AvoidUntil, now.Add(failedStartBackoff))
 		}
-		w.AvoidUntil = maxTime(w.AvoidUntil, now.Add(failedStartBackoff))
 	}
 	f.reconcile(now, w)
 }
@@ -217,6 +220,9 @@
 	// CauseDisconnected is the cause of an unconfirmed start or poll if the worker closed the connection
 	// before it answered.
 	CauseDisconnected = "disconnected"
+	// CauseNoResult is the cause of an unconfirmed order of which the relay that got it returned no result. It says
+	// nothing about the worker.
+	CauseNoResult = "no result from the relay"
 )
 
 // addFailure adds a failure to the worker's count. After repeated failures, the worker is avoided
--- a/core/tbfleet/poll.go
+++ b/core/tbfleet/poll.go
@@ -173,6 +173,14 @@
 		w.nextPollAt = now.Add(recheckPause)
 		f.reconcile(now, w)
 		return
+	case a.Outcome == Unconfirmed && a.Cause == CauseNoResult && !w.pollWasLost:
+		// The poll may still be executed. A second one in a row counts as not answered, so that a worker that cannot be
+		// reached does not keep its tasks.
+		w.pollWasLost = true
+		w.fenceOffAck()
+		w.nextPollAt = now.Add(recheckPause)
+		f.reconcile(now, w)
+		return
 	case a.Outcome == Accepted && a.ActualIncarnation > w.Incarnation:
 		f.endSilence(w.ID)
 		report := w.Report
@@ -189,7 +197,7 @@
 		w.Unresponsive = true
 		if a.Cause == CauseDisconnected {
 			w.noteDisconnect(now)
-		} else if a.Outcome == Unconfirmed {
+		} else if a.Outcome == Unconfirmed && a.Cause != CauseNoResult {
 			f.noteTimeout(now, w, a.SentAt)
 		}
 		// The failed poll may still be executed, even after a later poll was answered.
@@ -209,6 +217,7 @@
 		w.leaseExpiresAt = maxTime(w.leaseExpiresAt, now.Add(f.maxLeaseDuration(f.params.MaxLease)))
 	}
 	w.Unresponsive, w.hasAnswered, w.needsFence = false, true, false
+	w.pollWasLost = false
 	if a.LeaseEndMs > 0 {
 		w.renewalAnsweredFrom = a.SentAt
 	}
--- a/io/tbdaemon/relay.go
+++ b/io/tbdaemon/relay.go
@@ -136,7 +136,8 @@
 		s.mu.Unlock()
 		for _, o := range expired {
 			s.d.counters.add("relay.unanswered")
-			s.queueResult(o, tbcodec.OrderResult{Cause: "no result from relay " + o.Relay})
+			s.d.log.Debug("no result of an order in time", "relay", o.Relay)
+			s.queueResult(o, tbcodec.OrderResult{Cause: tbfleet.CauseNoResult})
 		}
 		if ends {
 			s.d.log.Info("orders to workers are sent without relays", "leads", isLeader)
@@ -202,7 +203,7 @@
 		go s.sendDirectly(o)
 	}
 	for _, o := range lost {
-		s.queueResult(o, tbcodec.OrderResult{Cause: "relay " + address + " was lost"})
+		s.queueResult(o, tbcodec.OrderResult{Cause: tbfleet.CauseNoResult})
 	}
 }
 
--- a/io/tbdaemon/relay_test.go
+++ b/io/tbdaemon/relay_test.go
@@ -195,7 +195,9 @@
 	defer close(blocks)
 	relays.block(blocks)
 	leader.orders.send(startOrder("j"))
-	qt.Check(t, nextStartAnswer(t, leader).Outcome, qt.Equals, tbfleet.Unconfirmed)
+	a := nextStartAnswer(t, leader)
+	qt.Check(t, a.Outcome, qt.Equals, tbfleet.Unconfirmed)
+	qt.Check(t, a.Cause, qt.Equals, tbfleet.CauseNoResult)
 	qt.Check(t, relays.startsOf("j"), qt.Equals, 1)
 }
 
@@ -303,7 +305,7 @@
 	relays.block(blocks)
 	leader.orders.send(startOrder("late"))
 	a := nextStartAnswer(t, leader)
-	qt.Check(t, a.Cause, qt.Matches, "no result from relay .*")
+	qt.Check(t, a.Cause, qt.Equals, tbfleet.CauseNoResult)
 	qt.Check(t, a.SentBefore.IsZero(), qt.IsTrue)
 
 	// A result that cannot be decoded, one of an earlier version, and one of a relay with a wrong clock.
