--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -88,7 +88,7 @@
 	f.trackStart(now, w, run, j.Steps[a.Ref.Step].BestEffort)
 	f.addOrder(Start{
 		Target: f.newTarget(w), Ref: a.Ref, Run: a.Run, Spec: j.Spec, Checkpoint: t.Checkpoint,
-		LeaseEndMs: f.renewLease(now, w), Timeout: f.params.OrderTimeout,
+		LeaseEndMs: f.renewLease(now, w), Timeout: f.orderTimeout(w),
 	})
 	f.reconcile(now, w)
 }
@@ -174,12 +174,17 @@
 		if run.Phase == RunOrdered {
 			run.Phase, run.stopRequested = RunUnconfirmed, true
 		}
-		if a.Cause == CauseDisconnected {
+		switch a.Cause {
+		case CauseNoResult:
+		case CauseDisconnected:
 			run.isConfirmed = true
 			run.noteAccepted(run.startSentAt)
 			w.noteDisconnect(now)
+			w.avoidLonger(now.Add(failedStartBackoff), AvoidedUnansweredStart)
+		default:
+			f.noteTimeout(now, w, run.startSentAt)
+			w.avoidLonger(now.Add(failedStartBackoff), AvoidedUnansweredStart)
 		}
-		w.avoidLonger(now.Add(failedStartBackoff), AvoidedUnansweredStart)
 	}
 	f.reconcile(now, w)
 }
@@ -238,6 +243,9 @@
 	CauseStatus = "status "
 	// CauseFence is the cause of a refusal of an order whose token is lower than one that the worker has seen.
 	CauseFence = "fence"
+	// CauseNoResult is the cause of an unconfirmed order of which the relay that got it returned no result. It says
+	// nothing about the worker.
+	CauseNoResult = "no result from the relay"
 )
 
 // IsUnsent reports whether the cause of a refused order is that no part of the order was sent.
