Let the bounds of requests to relays follow their answer times

Cause: a request to a relay failed after 400 ms, results were awaited for 200 ms more than the order's timeout, and a relay was silent after 600 ms. On a machine where these take longer, relays were lost again and again, each time with all orders in flight, and a relay whose requests take more than 400 ms could never be used. Change: the timeout and the margin follow each relay's answer times, up to 1 s, after which orders are not sent any more, and the timeout doubles after a failure. The second try to return results has twice the time. Where requests take milliseconds, all bounds stay. Measured: TestRelayThatAnswersSlowlyIsUsedUntilItsNextAnswerIsLate fails with the timeout fixed at 400 ms for requests of 0.5, 0.7 and 0.9 s (the relay is never used) and passes with the change; the tests of core/tbrelay and io/tbdaemon pass.

--- a/core/tbrelay/router.go
+++ b/core/tbrelay/router.go
@@ -29,15 +29,27 @@
 	lowRate  = 400.0
 	// rateWindow is the time over which the rate of orders is measured.
 	rateWindow = 250 * time.Millisecond
-	// answerTimeout is the age of a relay's last answer from which the relay is not used. The leader
+	// answerTimeout is the least age of a relay's last answer from which the relay is not used. The leader
 	// sends each relay a request at least every ProbeInterval.
-	answerTimeout = 600 * time.Millisecond
+	answerTimeout = MinTimeout + ProbeInterval
 	// A relay is slow, and is not used, if its answers take longer than minSlowAnswer and
 	// slowAnswerFactor times as long as those of the fastest relay.
 	minSlowAnswer    = 30 * time.Millisecond
 	slowAnswerFactor = 5
-	// answerTimeWeight is the weight of one answer in the moving average of answer times.
+	// answerTimeWeight and deviationWeight are the weights of one answer in the moving averages of answer times
+	// and of their deviation, and deviationFactor is the number of deviations after which an answer is late.
 	answerTimeWeight = 0.2
+	deviationWeight  = 0.25
+	deviationFactor  = 4
+)
+
+// Bounds of the times for requests to relays.
+const (
+	// MinTimeout and MaxTimeout bound the timeout of a request to a relay. Orders older than MaxTimeout are not sent.
+	MinTimeout = 400 * time.Millisecond
+	MaxTimeout = time.Second
+	// MinMargin is the least time that is added to the timeout of an order for the way through a relay.
+	MinMargin = 200 * time.Millisecond
 )
 
 // ProbeInterval is the longest time between two requests to a relay.
@@ -61,8 +73,21 @@
 	answeredAt time.Time
 	// reading is the reading of the relay's clock in its last answer.
 	reading Reading
-	// answerTime is the moving average of the times that answers took.
+	// answerTime is the moving average of the times that answers took, and deviation that of their deviation from it.
 	answerTime time.Duration
+	deviation  time.Duration
+	// isLost is true while the last request has failed. backedOffTimeout is the timeout of the next one then.
+	isLost           bool
+	backedOffTimeout time.Duration
+}
+
+// usualTime returns a time that few requests exceed.
+func (l *relay) usualTime() time.Duration {
+	return max(2*l.answerTime, l.answerTime+deviationFactor*l.deviation)
+}
+
+func (l *relay) timeout() time.Duration {
+	return min(max(MinTimeout, l.usualTime(), l.backedOffTimeout), MaxTimeout)
 }
 
 // Choice is a relay that the router has chosen.
@@ -70,6 +95,8 @@
 	Address string
 	// Reading is the newest known reading of the relay's clock.
 	Reading Reading
+	// Margin is the time for the way through the relay, with the wait for the answer to the request before.
+	Margin time.Duration
 }
 
 // NewRouter returns a router without relays.
@@ -77,21 +104,37 @@
 
 // HandleAnswer records that a relay has answered a request that was sent at sentAt.
 func (r *Router) HandleAnswer(now, sentAt time.Time, address, dataCentre string, reading Reading) {
-	i, found := r.indexOf(address)
-	if !found {
-		r.relays = slices.Insert(r.relays, i, &relay{address: address, answerTime: now.Sub(sentAt)})
+	l, d := r.ensureRelay(address), now.Sub(sentAt)
+	if l.isLost || l.answeredAt.IsZero() {
+		l.answerTime, l.deviation = d, 0
 	}
-	l := r.relays[i]
+	l.isLost, l.backedOffTimeout = false, 0
 	l.dataCentre, l.answeredAt, l.reading = dataCentre, now, reading
-	l.answerTime += time.Duration(answerTimeWeight * float64(now.Sub(sentAt)-l.answerTime))
+	l.deviation += time.Duration(deviationWeight * float64((d-l.answerTime).Abs()-l.deviation))
+	l.answerTime += time.Duration(answerTimeWeight * float64(d-l.answerTime))
 }
 
 // HandleFailure records that a request to a relay has failed. The relay is not used until it answers
-// again.
+// again, for which it gets twice the time.
 func (r *Router) HandleFailure(address string) {
+	l := r.ensureRelay(address)
+	l.isLost, l.backedOffTimeout = true, 2*l.timeout()
+}
+
+// Timeout returns the timeout of a request to a relay.
+func (r *Router) Timeout(address string) time.Duration {
 	if i, found := r.indexOf(address); found {
-		r.relays = slices.Delete(r.relays, i, i+1)
+		return r.relays[i].timeout()
 	}
+	return MinTimeout
+}
+
+func (r *Router) ensureRelay(address string) *relay {
+	i, found := r.indexOf(address)
+	if !found {
+		r.relays = slices.Insert(r.relays, i, &relay{address: address})
+	}
+	return r.relays[i]
 }
 
 func (r *Router) indexOf(address string) (int, bool) {
@@ -129,7 +172,7 @@
 	if best == nil {
 		return Choice{}, false
 	}
-	return Choice{Address: best.address, Reading: best.reading}, true
+	return Choice{Address: best.address, Reading: best.reading, Margin: min(max(MinMargin, best.usualTime()), MaxTimeout)}, true
 }
 
 // WantsRelays reports whether the leader uses relays as soon as some are available.
@@ -148,7 +191,7 @@
 func (r *Router) fastestAnswer(now time.Time) time.Duration {
 	fastest := time.Duration(-1)
 	for _, l := range r.relays {
-		if now.Sub(l.answeredAt) < answerTimeout && (fastest < 0 || l.answerTime < fastest) {
+		if l.isAnswering(now) && (fastest < 0 || l.answerTime < fastest) {
 			fastest = l.answerTime
 		}
 	}
@@ -157,7 +200,12 @@
 
 func (l *relay) isUsable(now time.Time, fastest time.Duration) bool {
 	isSlow := l.answerTime > minSlowAnswer && l.answerTime > slowAnswerFactor*fastest
-	return now.Sub(l.answeredAt) < answerTimeout && !isSlow
+	return l.isAnswering(now) && !isSlow
+}
+
+// isAnswering reports whether the relay has answered and its next answer is not late.
+func (l *relay) isAnswering(now time.Time) bool {
+	return !l.isLost && now.Sub(l.answeredAt) < max(answerTimeout, l.timeout()+ProbeInterval)
 }
 
 func hash(address, worker string) uint64 {
--- a/core/tbrelay/router_test.go
+++ b/core/tbrelay/router_test.go
@@ -95,3 +95,37 @@
 	r = newAnsweringRouter(start, map[string]time.Duration{"a": 150 * time.Millisecond, "b": 200 * time.Millisecond})
 	qt.Check(t, choices(r, start, ""), qt.HasLen, 2)
 }
+
+// slowRouter returns a router with one relay whose requests take d, and the time of its last answer.
+func slowRouter(d time.Duration) (r *Router, now time.Time) {
+	r, now = NewRouter(Always), start
+	for range 20 {
+		timeout := r.Timeout("a")
+		now = now.Add(min(d, timeout))
+		if d > timeout {
+			r.HandleFailure("a")
+			continue
+		}
+		r.HandleAnswer(now, now.Add(-d), "a", "", Reading{Session: 1, Clock: now.Sub(start)})
+	}
+	return r, now
+}
+
+// Guards against relays that are never used on machines where each request takes longer than the usual timeout.
+func TestRelayThatAnswersSlowlyIsUsedUntilItsNextAnswerIsLate(t *testing.T) {
+	for _, d := range []time.Duration{300 * time.Millisecond, 500 * time.Millisecond, 700 * time.Millisecond, 900 * time.Millisecond} {
+		r, now := slowRouter(d)
+		qt.Check(t, choices(r, now.Add(d+ProbeInterval-time.Millisecond), ""), qt.DeepEquals, map[string]int{"a": 1000}, qt.Commentf("%v", d))
+		qt.Check(t, choices(r, now.Add(MaxTimeout+ProbeInterval), ""), qt.DeepEquals, map[string]int{"none": 1000}, qt.Commentf("%v", d))
+		c, _ := r.Choose(now, "w", "")
+		qt.Check(t, c.Margin >= d, qt.IsTrue, qt.Commentf("%v: %v", d, c.Margin))
+	}
+}
+
+func TestTimeoutsOfFastRelaysAreTheLeastOnes(t *testing.T) {
+	r, now := slowRouter(5 * time.Millisecond)
+	qt.Check(t, r.Timeout("a"), qt.Equals, MinTimeout)
+	c, _ := r.Choose(now, "w", "")
+	qt.Check(t, c.Margin, qt.Equals, MinMargin)
+	qt.Check(t, r.Timeout("unknown"), qt.Equals, MinTimeout)
+}
--- a/io/tbdaemon/relay.go
+++ b/io/tbdaemon/relay.go
@@ -20,13 +20,9 @@
 	// maxSendDelay is the longest time from when an order is issued until it is sent to the worker,
 	// by the leader, or passed to a relay. A relay sends it within maxSendDelay of the reading of its
 	// clock that the leader then has. A later order is not sent.
-	maxSendDelay = time.Second
+	maxSendDelay = tbrelay.MaxTimeout
 	// relayLinger is how long an order or a result waits for others, to share a message with them.
 	relayLinger = 2 * time.Millisecond
-	// relayTimeout is the timeout of a request to a relay, and of a message with results.
-	relayTimeout = 400 * time.Millisecond
-	// relayMargin is added to the timeout of a relayed order for the way through the relay.
-	relayMargin = 200 * time.Millisecond
 	// pendingCheckInterval is the time between two checks for pending orders past their deadline.
 	pendingCheckInterval = 50 * time.Millisecond
 	// idleResultsInterval is how long a sender of results waits for a further result before it ends.
@@ -62,7 +58,7 @@
 	now := s.d.clock.Now()
 	isExpired := now.Sub(e.IssuedAt) > maxSendDelay
 	target, timeout := targetOf(e.Order)
-	o := tbrelay.PendingOrder{Order: e.Order, Term: e.Term, IssuedAt: e.IssuedAt, Deadline: now.Add(timeout + relayMargin)}
+	o := tbrelay.PendingOrder{Order: e.Order, Term: e.Term, IssuedAt: e.IssuedAt}
 	s.mu.Lock()
 	choice, ok := s.router.Choose(now, target.ID, target.DataCentre)
 	if s.router.WantsRelays() && s.cancel == nil {
@@ -70,7 +66,7 @@
 	}
 	b := s.batchers[choice.Address]
 	if ok && b != nil && !isExpired {
-		o.Relay, o.Issued = choice.Address, choice.Reading
+		o.Relay, o.Issued, o.Deadline = choice.Address, choice.Reading, now.Add(timeout+choice.Margin)
 		o.ID = s.pending.Add(o)
 	}
 	s.mu.Unlock()
@@ -178,8 +174,11 @@
 	}
 	m.RelaySession, m.RelayClock = oldest.Session, int64(oldest.Clock)
 	s.d.counters.addMany("relay.orders", len(orders))
+	s.mu.Lock()
+	requestTimeout := s.router.Timeout(address)
+	s.mu.Unlock()
 	sentAt := s.d.clock.Now()
-	answer, err := s.d.peers.Relay(ctx, address, relayTimeout, m)
+	answer, err := s.d.peers.Relay(ctx, address, requestTimeout, m)
 	s.mu.Lock()
 	if err == nil && !answer.GetCannotRelay() {
 		s.router.HandleAnswer(s.d.clock.Now(), sentAt, address, answer.GetDataCentre(),
--- a/io/tbdaemon/relay_handler.go
+++ b/io/tbdaemon/relay_handler.go
@@ -54,13 +54,13 @@
 	}
 }
 
-// send sends results and repeats the message once on another connection. The leader ignores results
-// that it gets twice. Results that do not arrive leave the orders unconfirmed.
+// send sends results and repeats the message once on another connection, with twice the time. The leader ignores
+// results that it gets twice. Results that do not arrive leave the orders unconfirmed.
 func (s *resultSender) send(ctx context.Context, leader string, results []*pb.RelayedResult) {
 	const tries = 2
 	var err error
-	for range tries {
-		if err = s.d.peers.ReturnResults(ctx, leader, relayTimeout, &pb.ReturnResultsRequest{Results: results}); err == nil {
+	for try := range tries {
+		if err = s.d.peers.ReturnResults(ctx, leader, tbrelay.MinTimeout<<try, &pb.ReturnResultsRequest{Results: results}); err == nil {
 			return
 		}
 	}
