End the sending of an order at a bound of its own

Cause: a longer timeout for slow workers lets the system send lost parts of an order again until then. With the longest timeout and the longest wait of a poll in MaxOrderDelay, starts whose sending is not known, and all of them after a change of leader, would be outstanding for 4 s more on a lease of 6 s, also where all workers are fast.

--- a/core/tbfleet/timeouts.go
+++ b/core/tbfleet/timeouts.go
@@ -33,9 +33,6 @@
 	return max(p.OrderTimeout, (p.Lease-max(p.maxPollWait(), p.renewalInterval()))/2)
 }
 
-// LongestTimeout returns the longest timeout of any order.
-func (p Params) LongestTimeout() time.Duration { return p.maxPollWait() + p.maxAnswerTime() }
-
 // orderTimeout returns the timeout of an order to the worker, not counting the time for which it may hold a poll open.
 func (f *Fleet) orderTimeout(w *Worker) time.Duration {
 	return min(max(f.params.OrderTimeout, w.answers.bound(), w.backedOffTimeout), f.params.maxAnswerTime())
--- a/core/tbfleet/types.go
+++ b/core/tbfleet/types.go
@@ -14,9 +14,8 @@
 	// MaxLease is the longest lease that any earlier leader may have granted.
 	MaxLease time.Duration
 	// MaxOrderDelay is the longest time from the decision of the Fleet on an order to the execution of
-	// the order by a worker. It contains MaxDeliveryDelay, the longest time until the order is sent, by the
-	// leader or by a relay, and LongestTimeout, because parts of an order without an answer may be sent again
-	// until then.
+	// the order by a worker. It contains MaxDeliveryDelay and the longest time until no part of the order
+	// is sent any more, by the leader or by a relay. It does not depend on the timeout of the order.
 	MaxOrderDelay time.Duration
 	// MaxDeliveryDelay is the longest time from the sending of an order, which SentBefore in its result
 	// bounds, to its execution by a worker.
--- a/io/tbdaemon/config.go
+++ b/io/tbdaemon/config.go
@@ -105,8 +105,8 @@
 		},
 	}
 	// MaxOrderDelay includes the time for which the leader may hold back an order before it issues it, the time until
-	// the order is sent or passed to a relay, that until the relay sends it, and its timeout.
-	cfg.Fleet.MaxOrderDelay = cfg.Fleet.MaxDeliveryDelay + maxOrderHold(s) + 2*maxSendDelay + cfg.Fleet.LongestTimeout()
+	// the order is sent or passed to a relay, that until the relay sends it, and that for which the transport sends it.
+	cfg.Fleet.MaxOrderDelay = cfg.Fleet.MaxDeliveryDelay + maxOrderHold(s) + 2*maxSendDelay + MaxSendingTime
 	if s.Group != nil {
 		cfg.GroupSize = 2*s.Group.Tolerance + 1
 	}
