--- a/core/tbassign/start_window_test.go
+++ b/core/tbassign/start_window_test.go
@@ -41,6 +41,24 @@
 	qt.Check(t, windowAfter(50, time.Second, 300*time.Millisecond, true), qt.Equals, float64(minWindow))
 }
 
+// While best-effort starts make answers late, however long that lasts, the window keeps the lateness near its limit, a
+// quarter of the rest of the order timeout.
+func TestWindowFollowsTheLoadThatStartsCause(t *testing.T) {
+	const shortest, limit = 5 * time.Millisecond, 395 * time.Millisecond / answerTimeShare
+	for _, perStart := range []time.Duration{100 * time.Microsecond, time.Millisecond, 5 * time.Millisecond} {
+		w := startWindow{size: 200}
+		now := time.UnixMilli(0)
+		for range 1000 {
+			w.isLimiting = true
+			answerTime := shortest + time.Duration(w.size)*perStart
+			w.update(now, answerTime, shortest, 400*time.Millisecond, 250*time.Millisecond)
+			qt.Assert(t, now.Before(time.UnixMilli(5000)) || answerTime <= 2*limit, qt.IsTrue, qt.Commentf("%v for each start: answers take %v", perStart, answerTime))
+			now = now.Add(answerTime)
+		}
+		qt.Check(t, w.size > float64(limit/perStart)/2, qt.IsTrue, qt.Commentf("%v for each start: %.0f", perStart, w.size))
+	}
+}
+
 // The effect of a change shows after an answer time. Until then, late events must not shrink the window again.
 func TestWindowChangesOncePerAnswerTime(t *testing.T) {
 	w := startWindow{size: 200}
