--- a/core/tbcontrol/leader_load_fake_test.go
+++ b/core/tbcontrol/leader_load_fake_test.go
@@ -190,6 +190,11 @@
 var loadWorkerCapacity = tbresource.Amount{MilliProcessors: 32_000, MemoryMB: 125_000}
 
 func newLoadSimulation(t testing.TB, seed uint64, workers int, slowdown float64) *loadSimulation {
+	return newScheduledSimulation(t, seed, workers, slowdown, tbassign.Features{})
+}
+
+// newScheduledSimulation returns a simulation whose replicas make the given optional decisions.
+func newScheduledSimulation(t testing.TB, seed uint64, workers int, slowdown float64, features tbassign.Features) *loadSimulation {
 	s := &loadSimulation{
 		assignedRuns: map[string]bool{}, stoppedTasks: map[tbflow.TaskRef]time.Time{},
 		t: t, rng: rand.New(rand.NewPCG(seed, 40)), now: time.UnixMilli(1_700_000_000_000), byID: map[string]*loadWorker{}, slowdown: slowdown, workerDelay: 4 * time.Millisecond,
@@ -206,7 +211,8 @@
 				MaxBatchBytes: 64 << 10, MaxInFlightBytes: 256 << 10, ChunkBytes: 256 << 10, Seed: uint64(m.ID),
 			},
 			SnapshotEvery: 1 << 40, MaxInFlight: 2, MaxBatchCommands: 512, MaxBatchBytes: 512 << 10, MaxWaiting: 20_000, MaxApplied: 64,
-			Placement: tbplacement.DefaultConfig(), PlacementInterval: 50 * time.Millisecond, GrantInterval: 250 * time.Millisecond,
+			Scheduling: features,
+			Placement:  tbplacement.DefaultConfig(), PlacementInterval: 50 * time.Millisecond, GrantInterval: 250 * time.Millisecond,
 			Fleet: tbfleet.Params{
 				Lease: 6 * time.Second, MaxLease: 6 * time.Second, MaxOrderDelay: 12 * time.Second, MaxDeliveryDelay: 12 * time.Second, ClockRateBound: 0.02,
 				PollWait: loadPollWait, OrderTimeout: time.Second, SilenceTimeout: 3 * time.Second, PollRetryDelay: 250 * time.Millisecond,
