Let jobs that stand share a small start window

Cause: while the window limits best-effort starts, steps that start first take all of them for up to as many tasks as they have, 40 here. Jobs behind have nothing running for over 3 s beside idle workers, which the users' contract rules out. Change: placeStanding gives each best-effort job that has had nothing running for half of that time one start before the others of the plan, those that have stood for longest first, only while the window limits the plan and under half of the class is in use. Otherwise plans are as before.

--- a/core/tbassign/plan.go
+++ b/core/tbassign/plan.go
@@ -36,11 +36,10 @@
 func (p *planState) placeAll(plan *PlannedRuns, steps []*waitingStep, limit planLimit) {
 	defer func() { plan.Held = p.held }()
 	p.placeBound(plan, limit)
-	bestEffortRuns := 0
+	bestEffortRuns := p.placeStanding(plan, steps, limit)
 	for _, step := range steps {
 		n := limit.runs - len(plan.Runs)
-		if step.step.BestEffort && !step.step.Gang {
-			// A gang starts whole, so it could not start while the window is smaller than the gang.
+		if isWindowed(step.step) {
 			n = min(n, limit.bestEffort-bestEffortRuns)
 		}
 		if n <= 0 {
--- /dev/null
+++ b/core/tbassign/standing.go
@@ -0,0 +1,96 @@
+package tbassign
+
+import (
+	"cmp"
+	"slices"
+
+	"tamarackbarrow/core/tbflow"
+)
+
+// While the start window limits best-effort work, steps that start first take all starts for as many tasks as they have.
+// A job behind many wide ones would then have nothing running for long, although the class has room. A job that stands
+// therefore gets one start before the others of the plan.
+
+// placeStanding adds a run of each best-effort step whose job stands, while the window limits the plan, those that have
+// stood for longest first. It returns the number of runs.
+func (p *planState) placeStanding(plan *PlannedRuns, steps []*waitingStep, limit planLimit) int {
+	if !windowLimits(steps, limit.bestEffort) {
+		return 0
+	}
+	type standingStep struct {
+		*waitingStep
+		sinceMs int64
+	}
+	var standing []standingStep
+	for _, w := range steps {
+		if !isWindowed(w.step) || p.keepsRoomInClass(w.job.WorkerClass) || hasAssignedTasks(w.job, w.occurrence) {
+			continue
+		}
+		if sinceMs := standingSinceMs(w); p.nowMs-sinceMs > headroomWaitMs {
+			standing = append(standing, standingStep{w, sinceMs})
+		}
+	}
+	slices.SortStableFunc(standing, func(a, b standingStep) int { return cmp.Compare(a.sinceMs, b.sinceMs) })
+	placed := 0
+	for _, w := range standing {
+		if placed >= limit.bestEffort || len(plan.Runs) >= limit.runs {
+			break
+		}
+		runs := p.place(w.waitingStep, 1)
+		for _, r := range runs {
+			w.taskRefs = slices.DeleteFunc(w.taskRefs, func(ref tbflow.TaskRef) bool { return ref == r.Ref })
+		}
+		plan.Runs = append(plan.Runs, runs...)
+		placed += len(runs)
+	}
+	return placed
+}
+
+// isWindowed reports whether the start window bounds the starts of a step. A gang starts whole, so it could not start
+// while the window is smaller than the gang.
+func isWindowed(step *tbflow.Step) bool { return step.BestEffort && !step.Gang }
+
+// windowLimits reports whether more best-effort tasks wait than a plan may start.
+func windowLimits(steps []*waitingStep, starts int) bool {
+	waiting := 0
+	for _, w := range steps {
+		if isWindowed(w.step) {
+			if waiting += w.job.WaitingTasks(w.occurrence, w.stepIndex); waiting > starts {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// keepsRoomInClass reports whether at least half of a class is in use.
+func (p *planState) keepsRoomInClass(class string) bool {
+	use := p.classUse[class]
+	return use == nil || use.keepsRoom()
+}
+
+// hasAssignedTasks reports whether any task of an occurrence has an assigned run.
+func hasAssignedTasks(j *tbflow.Job, occurrence int) bool {
+	for i := range j.Steps {
+		if j.AssignedTasks(occurrence, i) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// standingSinceMs returns since when an occurrence without assigned tasks has had nothing running, as far as the times
+// of its tasks tell: since the step's first task waits, or at the earliest since the last assignment.
+func standingSinceMs(w *waitingStep) int64 {
+	refs := w.waitingTasks()
+	if len(refs) == 0 {
+		return w.job.DueMs(w.occurrence)
+	}
+	sinceMs := w.job.Task(refs[0]).WaitingSinceMs
+	for i := range w.job.Steps {
+		for n := range w.job.Tasks[w.occurrence][i] {
+			sinceMs = max(sinceMs, w.job.Tasks[w.occurrence][i][n].AssignedMs)
+		}
+	}
+	return sinceMs
+}
