Let more urgent work start before jobs that stand

Cause: the starts for jobs that stand were the first of a plan and counted against its limit of runs, so that they could keep short tasks of a plan out. Change: they take their turn where the first best-effort step has it. Measured: TestPlanMatchesReference passes. Planted alone, each of these fails it: those that stood for the shortest time first, tasks that keep their place in the order, starts in full classes (TestWindowIsNotSharedInAFullClass too).

--- a/core/tbassign/plan.go
+++ b/core/tbassign/plan.go
@@ -36,8 +36,11 @@
 func (p *planState) placeAll(plan *PlannedRuns, steps []*waitingStep, limit planLimit) {
 	defer func() { plan.Held = p.held }()
 	p.placeBound(plan, limit)
-	bestEffortRuns := p.placeStanding(plan, steps, limit)
+	bestEffortRuns, sharesWindow := 0, false
 	for _, step := range steps {
+		if isWindowed(step.step) && !sharesWindow {
+			bestEffortRuns, sharesWindow = p.placeStanding(plan, steps, limit), true
+		}
 		n := limit.runs - len(plan.Runs)
 		if isWindowed(step.step) {
 			n = min(n, limit.bestEffort-bestEffortRuns)
--- a/core/tbassign/standing.go
+++ b/core/tbassign/standing.go
@@ -9,7 +9,7 @@
 
 // While the start window limits best-effort work, steps that start first take all starts for as many tasks as they have.
 // A job behind many wide ones would then have nothing running for long, although the class has room. A job that stands
-// therefore gets one start before the others of the plan.
+// therefore gets one start before other best-effort work.
 
 // placeStanding adds a run of each best-effort step whose job stands, while the window limits the plan, those that have
 // stood for longest first. It returns the number of runs.
