Start jobs that stand for most of 3 s beyond the window

Cause: a leader with hardly any time left has windows of 8 starts with answers after 0.3 to 0.5 s, 16 starts a second for seconds. Jobs that stand share them, but there are more of them. Change: a job that has stood for longer than maxWindowedStandMs (2.25 s) gets one start whatever the window. Jobs come to that age one after the other, so that these starts are few at a time. TestWindowDoesNotKeepJobsStanding fails without it.

--- a/core/tbassign/standing.go
+++ b/core/tbassign/standing.go
@@ -11,8 +11,14 @@
 // A job behind many wide ones would then have nothing running for long, although the class has room. A job that stands
 // therefore gets one start before other best-effort work.
 
+// maxWindowedStandMs is how long, in milliseconds, the window may keep a job that stands from its start. A start takes a
+// while to reach its worker when the leader is slow, so that half of the time is left that the users' contract
+// tolerates from headroomWaitMs on.
+const maxWindowedStandMs = headroomWaitMs * 3 / 2
+
 // placeStanding adds a run of each best-effort step whose job stands, while the window limits the plan, those that have
-// stood for longest first. It returns the number of runs.
+// stood for longest first. It returns the number of runs, which is more than the window if jobs have stood for
+// maxWindowedStandMs.
 func (p *planState) placeStanding(plan *PlannedRuns, steps []*waitingStep, limit planLimit) int {
 	if !windowLimits(steps, limit.bestEffort) {
 		return 0
@@ -33,7 +39,7 @@
 	slices.SortStableFunc(standing, func(a, b standingStep) int { return cmp.Compare(a.sinceMs, b.sinceMs) })
 	placed := 0
 	for _, w := range standing {
-		if placed >= limit.bestEffort || len(plan.Runs) >= limit.runs {
+		if len(plan.Runs) >= limit.runs || placed >= limit.bestEffort && p.nowMs-w.sinceMs <= maxWindowedStandMs {
 			break
 		}
 		runs := p.place(w.waitingStep, 1)
--- a/core/tbassign/standing_test.go
+++ b/core/tbassign/standing_test.go
@@ -83,3 +83,17 @@
 	b.advance(2 * time.Second)
 	qt.Check(t, b.startedJobs(8), qt.HasLen, 8)
 }
+
+// A leader that has hardly any time makes a few starts a second. Jobs that have stood for most of the time that the
+// users' contract tolerates get one start each all the same, and then the window holds again.
+func TestWindowDoesNotKeepJobsStanding(t *testing.T) {
+	b := newWideJobs(t, 100, maxWindowedStandMs*time.Millisecond)
+	qt.Check(t, b.startedJobs(8), qt.HasLen, 8)
+	b.advance(time.Millisecond)
+	started := b.startedJobs(2)
+	qt.Check(t, started, qt.HasLen, 12)
+	for job, n := range started {
+		qt.Check(t, n, qt.Equals, 1, qt.Commentf(job))
+	}
+	qt.Check(t, b.startedJobs(0), qt.HasLen, 0)
+}
