Refuse best-effort jobs whose starts come too late to be of use

Cause: admission predicts the end of a job from processors only. If the leader makes starts more slowly than the workers could take them, it accepts jobs that start half a minute later and end when their results are of no use. Change: startRate is the rate of best-effort starts while the window keeps work waiting: the greater of window / answer time (Little's law) and what was observed in such times in the last 10 to 20 s, the period of the shortest answer time. A job that could not end in three objectives behind the starts that go before it is refused, with a Retry-After of the excess, at most three objectives, staggered. While the window does not limit, nothing changes. The simulated callers can back off as the users' contract says.

--- a/core/tbassign/class_load.go
+++ b/core/tbassign/class_load.go
@@ -41,6 +41,17 @@
 	isLate        bool
 	latestStartMs int64
 	work          float64
+	// starts is the number of starts that the start window bounds.
+	starts int
+}
+
+// goesBefore reports whether the work goes before a new job, which starts at lateStartMs at the latest among late work.
+func (w *waitingWork) goesBefore(own waitingWork, lateStartMs int64) bool {
+	latestStartMs := own.latestStartMs
+	if w.isLate {
+		latestStartMs = lateStartMs
+	}
+	return w.priority < own.priority || w.priority == own.priority && w.latestStartMs <= latestStartMs
 }
 
 // workOfStep returns the work of tasks of a step that a plan has left waiting. It is 0 if it does not go before
@@ -73,11 +84,7 @@
 	}
 	var shares []share
 	for _, w := range all {
-		latestStartMs := own.latestStartMs
-		if w.isLate {
-			latestStartMs = lateStartMs
-		}
-		if w.priority > own.priority || w.priority == own.priority && w.latestStartMs > latestStartMs {
+		if !w.goesBefore(own, lateStartMs) {
 			continue
 		}
 		into := &sum
@@ -169,7 +176,11 @@
 				load.longRunningWaiting += processors
 			}
 		case w.step.BestEffort:
-			load.bestEffort = appendWork(load.bestEffort, p.workOfStep(w, work))
+			waitingWork := p.workOfStep(w, work)
+			if isWindowed(w.step) {
+				waitingWork.starts = waiting
+			}
+			load.bestEffort = appendWork(load.bestEffort, waitingWork)
 		default:
 			load.short = appendWork(load.short, p.workOfStep(w, work))
 		}
--- a/core/tbassign/plan.go
+++ b/core/tbassign/plan.go
@@ -36,14 +36,14 @@
 func (p *planState) placeAll(plan *PlannedRuns, steps []*waitingStep, limit planLimit) {
 	defer func() { plan.Held = p.held }()
 	p.placeBound(plan, limit)
-	bestEffortRuns, sharesWindow := 0, false
+	sharesWindow := false
 	for _, step := range steps {
 		if isWindowed(step.step) && !sharesWindow {
-			bestEffortRuns, sharesWindow = p.placeStanding(plan, steps, limit), true
+			plan.windowedRuns, sharesWindow = p.placeStanding(plan, steps, limit), true
 		}
 		n := limit.runs - len(plan.Runs)
 		if isWindowed(step.step) {
-			n = min(n, limit.bestEffort-bestEffortRuns)
+			n = min(n, limit.bestEffort-plan.windowedRuns)
 		}
 		if n <= 0 {
 			plan.reachedLimit = true
@@ -54,7 +54,7 @@
 		}
 		runs := p.place(step, n)
 		if plan.Runs = append(plan.Runs, runs...); step.step.BestEffort {
-			bestEffortRuns += len(runs)
+			plan.windowedRuns += len(runs)
 		}
 	}
 }
--- a/core/tbassign/planner.go
+++ b/core/tbassign/planner.go
@@ -86,6 +86,8 @@
 	ReservedWorkers int
 	// Held says what holds long-running tasks that have waited for long.
 	Held []HeldTask
+	// windowedRuns is the number of runs that count against the start window.
+	windowedRuns int
 	// reachedLimit is true if a limit has kept the plan from more runs.
 	reachedLimit bool
 }
@@ -113,6 +115,7 @@
 	if plan.reachedLimit {
 		interval = fullPlanIntervalAtLimit
 	}
+	l.startRate.observe(now, plan.reachedLimit, plan.windowedRuns, p.window.size, answerTime)
 	p.window.isLimiting = p.window.isLimiting || plan.reachedLimit
 	p.lastFullPlanAt, p.nextFullPlanAt = now, now.Add(max(interval, planTimeFactor*p.planTime()))
 	return plan
--- a/core/tbassign/predicted_admission.go
+++ b/core/tbassign/predicted_admission.go
@@ -29,6 +29,8 @@
 	EndsTooLate RefusalReason = "endsTooLate"
 	// RoomForShortJobs means that a long-running job would take the room of the short jobs that are expected.
 	RoomForShortJobs RefusalReason = "roomForShortJobs"
+	// StartsTooLate means that the leader makes starts too slowly for the job to end while its result is of use.
+	StartsTooLate RefusalReason = "startsTooLate"
 )
 
 // Admission is the decision whether a job is accepted, and what it was made from.
@@ -123,6 +125,14 @@
 			own.isLate, own.latestStartMs = true, lateStartMs
 		}
 	}
+	if own.starts = startsOf(j.Steps); own.starts > 0 {
+		start, duration := l.startRate.timeFor(startsAhead(*waiting, own, lateStartMs)), max(path, l.startRate.timeFor(own.starts))
+		if excess := start + duration - usefulFactor*objective; start > 0 && excess > 0 {
+			a.Predicted = tbforecast.Prediction{Start: start, End: start + duration, Excess: excess}
+			a.Reason, a.RetryAfter = StartsTooLate, stagger(j.ID, min(excess, usefulFactor*objective))
+			return a
+		}
+	}
 	*waiting = appendWork(*waiting, own)
 	if !j.Steps[0].BestEffort {
 		l.observeArrival(now, q.WorkerClass, q.Priority, work)
--- a/core/tbcontrol/decision_log.go
+++ b/core/tbcontrol/decision_log.go
@@ -134,7 +134,7 @@
 func (c *Control) logRefusal(id string, q *tbflow.Queue, a tbassign.Admission) {
 	args := []any{"job", id, "queue", q.Key.Host + q.Key.Prefix, "retryAfterMs", a.RetryAfter.Milliseconds(), "version", c.state.Flow.Config.Version}
 	switch a.Reason {
-	case tbassign.EndsTooLate:
+	case tbassign.EndsTooLate, tbassign.StartsTooLate:
 		args = append(args, "predictedStartMs", a.Predicted.Start.Milliseconds(), "predictedEndMs", a.Predicted.End.Milliseconds(), "objectiveMs", a.Objective.Milliseconds())
 	case tbassign.RoomForShortJobs:
 		args = append(args, "keptProcessors", int(a.Kept), "leftProcessors", int(a.Left))
--- a/core/tbcontrol/leader_load_admission_test.go
+++ b/core/tbcontrol/leader_load_admission_test.go
@@ -30,6 +30,8 @@
 	// stood holds the jobs that stood for longer than maxStanding.
 	stood   map[string]bool
 	refused int
+	// lastWaitingAt is when a task of a best-effort job has last waited for its start.
+	lastWaitingAt time.Time
 	// maxUse is the largest share of the workers' capacity that was in use.
 	maxUse float64
 }
@@ -83,6 +85,9 @@
 	standing := map[string]time.Time{}
 	for _, j := range flow.Active() {
 		step := readyStep(j)
+		if step != nil && step.BestEffort {
+			o.lastWaitingAt = o.s.now
+		}
 		if running[j.ID] || step == nil || use >= 0.5 || !fitsTwice(step, free) {
 			continue
 		}
@@ -154,3 +159,44 @@
 		})
 	}
 }
+
+// loadTime is how long jobs are submitted, and drainTime how long the leader has for them after that.
+const (
+	loadTime  = 8 * time.Second
+	drainTime = 40 * time.Second
+)
+
+// Jobs are refused only if the leader makes starts so slowly that the backlog lasts for at least half of the time in
+// which results are of use, and none of the accepted ones stands.
+func TestJobsAreRefusedOnlyWhenStartsAreTooLate(t *testing.T) {
+	seed := uint64(0)
+	for _, slowdown := range []float64{1, 2, 4, 6} {
+		for _, workerDelay := range []time.Duration{4 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond} {
+			seed++
+			t.Run(fmt.Sprintf("slowdown=%v,delay=%s,seed=%d", slowdown, workerDelay, seed), func(t *testing.T) {
+				s, o := newSlowSimulation(t, seed, slowdown, workerDelay)
+				// At a slowdown of 6, polls and reports alone take most of the leader's time, and callers that do not
+				// back off the rest.
+				s.callersBackOff = slowdown > 4
+				start := s.now
+				s.submitLoad(baseRates, loadTime)
+				until := s.now
+				s.run(drainTime)
+				o.check(t)
+				useful, jobs := s.usefulShare(fillQueue, start, until)
+				drained := o.lastWaitingAt.Sub(start)
+				t.Logf("%d best-effort jobs, %.3f of use, drained after %s", jobs, useful, drained)
+				if slowdown <= 4 {
+					// All of them can be of use, so none is refused.
+					qt.Check(t, o.refused, qt.Equals, 0)
+					qt.Check(t, useful, qt.Equals, 1.0)
+					return
+				}
+				// Two steps, and a second.
+				objective := 4*s.runTimes[fillQueue] + time.Second
+				qt.Check(t, o.refused > 0, qt.IsTrue)
+				qt.Check(t, drained > usefulObjectives*objective/2, qt.IsTrue)
+			})
+		}
+	}
+}
--- a/core/tbcontrol/leader_load_fake_test.go
+++ b/core/tbcontrol/leader_load_fake_test.go
@@ -47,6 +47,9 @@
 	runTimes    map[string]time.Duration
 	lastRequest uint64
 	jobs        []*loadJob
+	// callersBackOff is true if callers without an answer ask again after a second and then after twice as long each time,
+	// as the users' contract says, and not every 400 ms.
+	callersBackOff bool
 	// fillWaits holds the times from when best-effort tasks could start until they were assigned.
 	fillWaits []time.Duration
 	// assignedRuns holds the descriptions of the best-effort runs that were assigned, up to the worker.
@@ -178,6 +181,8 @@
 	job         tbflow.Job
 	submittedAt time.Time
 	objective   time.Duration
+	// unanswered is the number of times that the caller has got no answer.
+	unanswered int
 }
 
 // Queues of the simulated load.
@@ -639,7 +644,12 @@
 				}
 			} else if !ok && !r.stopped {
 				// The answer is still to come.
-				s.at(s.now.Add(200*time.Millisecond), func() {
+				wait := 200 * time.Millisecond
+				if s.callersBackOff {
+					wait = time.Second<<min(j.unanswered, 4) - 200*time.Millisecond
+				}
+				j.unanswered++
+				s.at(s.now.Add(wait), func() {
 					if _, ok := r.answers[request]; !ok {
 						s.trySubmit(j)
 					}
@@ -729,7 +739,22 @@
 // onTimeShare returns the share of the jobs of a queue, submitted between two times, that ended within their
 // objective.
 func (s *loadSimulation) onTimeShare(queue string, from, to time.Time) (share float64, jobs int) {
-	onTime := 0
+	return s.endedShare(queue, from, to, 1)
+}
+
+// usefulShare returns the share of the jobs of a queue, submitted between two times, that ended while their results were
+// of use.
+func (s *loadSimulation) usefulShare(queue string, from, to time.Time) (share float64, jobs int) {
+	return s.endedShare(queue, from, to, usefulObjectives)
+}
+
+// usefulObjectives is the number of objectives for which the result of a job is of use.
+const usefulObjectives = 3
+
+// endedShare returns the share of the jobs of a queue, submitted between two times, that ended within a number of
+// objectives.
+func (s *loadSimulation) endedShare(queue string, from, to time.Time, objectives int64) (share float64, jobs int) {
+	ended := 0
 	r := s.leader()
 	qt.Assert(s.t, r, qt.IsNotNil, qt.Commentf("there is no leader at the end"))
 	for _, j := range s.jobs {
@@ -738,9 +763,9 @@
 		}
 		jobs++
 		state := r.control.State().Flow.Jobs[j.id]
-		if state != nil && state.Phase == tbflow.Completed && state.EndedMs-j.submittedAt.UnixMilli() <= j.objective.Milliseconds() {
-			onTime++
+		if state != nil && state.Phase == tbflow.Completed && state.EndedMs-j.submittedAt.UnixMilli() <= objectives*j.objective.Milliseconds() {
+			ended++
 		}
 	}
-	return float64(onTime) / float64(max(1, jobs)), jobs
+	return float64(ended) / float64(max(1, jobs)), jobs
 }
