Let jobs share the window in classes of which half is in use, too

Cause: the leader counts tasks as in use from their assignment on. With answers after 400 ms, it sees half of a class in use when the workers have less, and did not share the window, so that jobs stood beside room. Change: jobs also share the window if it kept the last full plan from more runs, since then starts and not room are short.

--- a/core/tbassign/learner.go
+++ b/core/tbassign/learner.go
@@ -42,7 +42,7 @@
 	// worker class. Both are used only with Features.PredictedAdmission.
 	shortArrivals map[demandKey]*demandRate
 	loads         map[string]*classLoad
-	// startRate is the rate of best-effort starts. It is used only with Features.PredictedAdmission.
+	// startRate is the rate of best-effort starts.
 	startRate startRate
 	// shortOfRoom holds the queues whose useful work the last full plan has left waiting for room. It is used only with
 	// Features.FairShares.
--- a/core/tbassign/standing.go
+++ b/core/tbassign/standing.go
@@ -29,7 +29,7 @@
 	}
 	var standing []standingStep
 	for _, w := range steps {
-		if !isWindowed(w.step) || p.keepsRoomInClass(w.job.WorkerClass) || hasAssignedTasks(w.job, w.occurrence) {
+		if !isWindowed(w.step) || p.isShortOfRoom(w.job.WorkerClass) || hasAssignedTasks(w.job, w.occurrence) {
 			continue
 		}
 		if sinceMs := standingSinceMs(w); p.nowMs-sinceMs > headroomWaitMs {
@@ -69,10 +69,12 @@
 	return false
 }
 
-// keepsRoomInClass reports whether at least half of a class is in use.
-func (p *planState) keepsRoomInClass(class string) bool {
+// isShortOfRoom reports whether at least half of a class is in use and the room may be what keeps work waiting. It is
+// not if the window has kept the last full plan from more runs. Tasks on their way to a worker count as in use, so that
+// the users' contract may see much room where the leader does not.
+func (p *planState) isShortOfRoom(class string) bool {
 	use := p.classUse[class]
-	return use == nil || use.keepsRoom()
+	return use == nil || use.keepsRoom() && !p.learner.startRate.isLimiting
 }
 
 // hasAssignedTasks reports whether any task of an occurrence has an assigned run.
--- a/core/tbassign/standing_test.go
+++ b/core/tbassign/standing_test.go
@@ -97,3 +97,16 @@
 	}
 	qt.Check(t, b.startedJobs(0), qt.HasLen, 0)
 }
+
+// If the window kept the last plan from more runs, it and not the room keeps jobs waiting in a class of which half is in use.
+func TestWindowIsSharedInAFullClassWhileItLimits(t *testing.T) {
+	b := newFixture(t, 10)
+	b.submit("watch", "w", longRunningStep(30, "a"))
+	b.planAndCommit()
+	for i := range 20 {
+		b.submit("fill", fmt.Sprintf("f%02d", i), bestEffortStep(40, "x"))
+	}
+	b.advance(2 * time.Second)
+	b.learner.startRate.observe(b.now, true, 8, 8, 50*time.Millisecond)
+	qt.Check(t, b.startedJobs(8), qt.HasLen, 8)
+}
--- a/core/tbcontrol/leader_load_admission_test.go
+++ b/core/tbcontrol/leader_load_admission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -200,3 +201,24 @@
 		}
 	}
 }
+
+// A twentieth of the workers leaves a slow leader that has thousands of long-running tasks. These start again soon, and no
+// best-effort job stands, although about half of the workers' capacity is in use or on its way to be.
+func TestLongRunningTasksStartAgainSoonWhenStartsAreSlow(t *testing.T) {
+	s := newScheduledSimulation(t, 1, 1800, 4, tbassign.Features{PredictedAdmission: true, FairShares: true})
+	s.workerDelay = 200 * time.Millisecond
+	s.callersBackOff = true
+	o := newStandingObserver(s)
+	s.startLongRunning(216)
+	s.submitLoad(baseRates, 2*time.Second)
+	s.restartWaits = nil
+	s.leave(90, 2*time.Second)
+	s.submitLoad(baseRates, loadTime)
+	s.run(15 * time.Second)
+	o.check(t)
+	qt.Assert(t, len(s.restartWaits) > 200, qt.IsTrue)
+	qt.Check(t, s.stoppedTasks, qt.HasLen, 0)
+	longest := slices.Max(s.restartWaits)
+	t.Logf("%d long-running tasks started again after at most %s", len(s.restartWaits), longest)
+	qt.Check(t, longest < maxStanding, qt.IsTrue)
+}
