--- a/core/tbassign/plan.go
+++ b/core/tbassign/plan.go
@@ -36,12 +36,14 @@
 func (p *planState) placeAll(plan *PlannedRuns, steps []*waitingStep, limit planLimit) {
 	defer func() { plan.Held = p.held }()
 	p.placeBound(plan, limit)
-	bestEffortRuns := 0
+	sharesWindow := false
 	for _, step := range steps {
+		if isWindowed(step.step) && !sharesWindow {
+			plan.windowedRuns, sharesWindow = p.placeStanding(plan, steps, limit), true
+		}
 		n := limit.runs - len(plan.Runs)
-		if step.step.BestEffort && !step.step.Gang {
-			// A gang starts whole, so it could not start while the window is smaller than the gang.
-			n = min(n, limit.bestEffort-bestEffortRuns)
+		if isWindowed(step.step) {
+			n = min(n, limit.bestEffort-plan.windowedRuns)
 		}
 		if n <= 0 {
 			plan.reachedLimit = true
@@ -52,7 +54,7 @@
 		}
 		runs := p.place(step, n)
 		if plan.Runs = append(plan.Runs, runs...); step.step.BestEffort {
-			bestEffortRuns += len(runs)
+			plan.windowedRuns += len(runs)
 		}
 	}
 }
