Do not hold best-effort work back for workers that are always late to answer

Cause: the window compares the usual answer time with the shortest of all workers. If most workers take 300 ms or longer to answer however few starts are under way, and some answer at once, the pressure stays above 1 and the window at 8, although the leader is idle: 25 starts a second. With an order timeout of 400 ms, about 100 ms more than the shortest are enough. Change: the usual answer time at the smallest window, when starts hardly delay each other, counts as what answers take anyway for 10 s (as BBR probes the round-trip time with few packets under way). The window still shrinks when answers take more than a quarter longer of what is left up to the order timeout, and when events are late.

--- a/core/tbassign/start_window.go
+++ b/core/tbassign/start_window.go
@@ -24,6 +24,8 @@
 	// An order without an answer is unconfirmed after its timeout, and its run is stopped. What answers take
 	// longer than the shortest one has to stay well below the rest of the timeout.
 	answerTimeShare = 4
+	// basePeriod is how long the answer time at the smallest window counts. It is the period of the shortest one.
+	basePeriod = 10 * time.Second
 	// maxDecrease is the smallest factor of one change of the window.
 	maxDecrease = 0.5
 	// defaultTarget is the target while no queue has one.
@@ -44,6 +46,10 @@
 	events int
 	// isLate is true if the events before the last change were so old that the leader has to save work.
 	isLate bool
+	// base is the usual answer time while the window was at its minimum, when starts hardly delay each other, until
+	// baseEndsAt.
+	base       time.Duration
+	baseEndsAt time.Time
 	// isLimiting is true if a plan since the last change has reached the limit that follows from the window.
 	isLimiting bool
 }
@@ -62,6 +68,14 @@
 	if now.Before(w.nextChangeAt) || answerTime == 0 {
 		return
 	}
+	switch {
+	case w.size <= minWindow:
+		w.base, w.baseEndsAt = max(w.base, answerTime), now.Add(basePeriod)
+	case now.After(w.baseEndsAt):
+		w.base = 0
+	}
+	// Some workers may always be slower than others to answer.
+	shortest = max(shortest, min(w.base, orderTimeout))
 	pressure := float64((answerTime-shortest)*answerTimeShare) / float64(max(time.Millisecond, orderTimeout-shortest))
 	agePressure := 0.0
 	if w.events > 0 {
--- a/core/tbassign/start_window_test.go
+++ b/core/tbassign/start_window_test.go
@@ -65,6 +65,28 @@
 	qt.Check(t, w.size > 1000, qt.IsTrue, qt.Commentf("%.0f", w.size))
 }
 
+// Most workers answer late, but some at once. That does not get better while hardly any start is under way, so that the
+// window grows again. Answers that then take still longer shrink it.
+func TestWindowGrowsAlthoughMostWorkersAnswerLate(t *testing.T) {
+	w := startWindow{size: 200}
+	now := time.UnixMilli(0)
+	update := func(changes int, answerTime time.Duration) {
+		for range changes {
+			w.isLimiting = true
+			w.update(now, answerTime, 5*time.Millisecond, 400*time.Millisecond, 250*time.Millisecond)
+			now = now.Add(answerTime)
+		}
+	}
+	update(5, 200*time.Millisecond)
+	qt.Check(t, w.size, qt.Equals, float64(minWindow))
+	update(15, 200*time.Millisecond)
+	qt.Check(t, w.size > 1000, qt.IsTrue, qt.Commentf("%.0f", w.size))
+	// Each change halves it.
+	size := w.size
+	update(6, 300*time.Millisecond)
+	qt.Check(t, w.size, qt.Equals, size/64)
+}
+
 // A plan during which the process was preempted says nothing about the next ones.
 func TestOneSlowPlanDoesNotDelayTheNextOnes(t *testing.T) {
 	var p Planner
--- a/core/tbcontrol/leader_load_admission_test.go
+++ b/core/tbcontrol/leader_load_admission_test.go
@@ -222,3 +222,18 @@
 	t.Logf("%d long-running tasks started again after at most %s", len(s.restartWaits), longest)
 	qt.Check(t, longest < maxStanding, qt.IsTrue)
 }
+
+// Nine of ten workers take 400 ms to answer a start, however few starts are under way. A leader that has time does not
+// hold best-effort work back for that.
+func TestBestEffortWorkIsNotHeldBackByWorkersThatAnswerLate(t *testing.T) {
+	s, o := newSlowSimulation(t, 1, 1, 4*time.Millisecond)
+	for i, w := range s.workers {
+		if i%10 != 0 {
+			w.startTime = 400 * time.Millisecond
+		}
+	}
+	s.submitLoad(baseRates, loadTime)
+	s.run(loadTime)
+	o.check(t)
+	qt.Check(t, o.refused, qt.Equals, 0)
+}
--- a/core/tbcontrol/leader_load_fake_test.go
+++ b/core/tbcontrol/leader_load_fake_test.go
@@ -144,11 +144,13 @@
 	sequence    uint64
 	silentUntil time.Time
 	draining    bool
-	running     map[tbflow.TaskRef]loadRun
-	ended       []tbfleet.ListedEnd
-	ackedEnds   uint64
-	poll        *loadPoll
-	token       uint64
+	// startTime is the time from the arrival of a start until the worker answers it.
+	startTime time.Duration
+	running   map[tbflow.TaskRef]loadRun
+	ended     []tbfleet.ListedEnd
+	ackedEnds uint64
+	poll      *loadPoll
+	token     uint64
 }
 
 // loadRun is a run on a worker. endsAt is zero for a long-running task.
@@ -512,7 +514,7 @@
 			s.answerAfter(o.Timeout, r, tbcontrol.StartAnswered{Term: e.Term, Answer: a})
 			return
 		}
-		s.answerAfter(s.workerDelay, r, tbcontrol.StartAnswered{Term: e.Term, Answer: a})
+		s.answerAfter(s.workerDelay+w.startTime, r, tbcontrol.StartAnswered{Term: e.Term, Answer: a})
 	case tbfleet.Stop:
 		w := s.byID[o.Target.ID]
 		a := tbfleet.StopAnswered{Worker: w.id, Incarnation: w.incarnation, Ref: o.Ref, Run: o.Run}
