--- a/core/tbcontrol/leader_load_fake_test.go
+++ b/core/tbcontrol/leader_load_fake_test.go
@@ -148,11 +148,13 @@
 	sequence    uint64
 	silentUntil time.Time
 	draining    bool
-	running     map[tbflow.TaskRef]loadRun
-	ended       []tbfleet.ListedEnd
-	ackedEnds   uint64
-	poll        *loadPoll
-	token       uint64
+	// startTime is the time from the arrival of a start until the worker answers it.
+	startTime time.Duration
+	running   map[tbflow.TaskRef]loadRun
+	ended     []tbfleet.ListedEnd
+	ackedEnds uint64
+	poll      *loadPoll
+	token     uint64
 	// leaseEndMs is the end of the lease. watchesLease is true while a timer ends the runs then.
 	leaseEndMs   int64
 	watchesLease bool
@@ -524,7 +526,7 @@
 			s.answerAfter(o.Timeout, r, tbcontrol.StartAnswered{Term: e.Term, Answer: a})
 			return
 		}
-		s.answerInTime(r, e.IssuedAt.Add(o.Timeout), tbcontrol.StartAnswered{Term: e.Term, Answer: a})
+		s.answerInTimeAfter(w.startTime, r, e.IssuedAt.Add(o.Timeout), tbcontrol.StartAnswered{Term: e.Term, Answer: a})
 	case tbfleet.Stop:
 		w := s.byID[o.Target.ID]
 		a := tbfleet.StopAnswered{Worker: w.id, Incarnation: w.incarnation, Ref: o.Ref, Run: o.Run}
--- a/core/tbcontrol/slow_workers_fake_test.go
+++ b/core/tbcontrol/slow_workers_fake_test.go
@@ -35,6 +35,11 @@
 
 // answerInTime delivers the answer of a worker, or at the deadline that there was none.
 func (s *loadSimulation) answerInTime(r *loadReplica, deadline time.Time, ev tbcontrol.Event) {
+	s.answerInTimeAfter(0, r, deadline, ev)
+}
+
+// answerInTimeAfter is answerInTime for a worker that takes d until it answers.
+func (s *loadSimulation) answerInTimeAfter(d time.Duration, r *loadReplica, deadline time.Time, ev tbcontrol.Event) {
 	worker, unanswered := "", ev
 	switch ev := ev.(type) {
 	case tbcontrol.StartAnswered:
@@ -55,7 +60,7 @@
 		ev.Answer = tbfleet.PollAnswered{Worker: a.Worker, Incarnation: a.Incarnation, SentAt: a.SentAt, LastRecordedEnd: a.LastRecordedEnd, LeaseEndMs: a.LeaseEndMs}
 		unanswered = ev
 	}
-	delay := s.delayOf(worker)
+	delay := s.delayOf(worker) + d
 	if s.now.Add(delay).After(deadline) {
 		s.answerAfter(max(0, deadline.Sub(s.now)), r, unanswered)
 		return
