Do not count answers as missing that wait while the process does not run

Cause: a leader or relay that gets no processor for a while finds the timers of its orders expired when it runs again, although the answers wait in its sockets. All orders in flight were unconfirmed then. Pauses of a real process were not played.

--- a/core/tbrelay/pending.go
+++ b/core/tbrelay/pending.go
@@ -76,6 +76,14 @@
 	return p.takeAll(func(o PendingOrder) bool { return !now.Before(o.Deadline) })
 }
 
+// Postpone moves all deadlines by d.
+func (p *Pending) Postpone(d time.Duration) {
+	for id, o := range p.orders {
+		o.Deadline = o.Deadline.Add(d)
+		p.orders[id] = o
+	}
+}
+
 // TakeOf removes and returns the orders of a relay, in order of their ids.
 func (p *Pending) TakeOf(relay string) []PendingOrder {
 	return p.takeAll(func(o PendingOrder) bool { return o.Relay == relay })
--- a/core/tbrelay/pending_test.go
+++ b/core/tbrelay/pending_test.go
@@ -72,3 +72,13 @@
 		}
 	}
 }
+
+func TestPostponedOrdersExpireLater(t *testing.T) {
+	p := NewPending(0)
+	p.Add(PendingOrder{Deadline: start.Add(time.Second)})
+	p.Postpone(2 * time.Second)
+	p.Add(PendingOrder{Deadline: start.Add(time.Second)})
+	qt.Check(t, p.TakeExpired(start.Add(2*time.Second)), qt.HasLen, 1)
+	qt.Check(t, p.TakeExpired(start.Add(3*time.Second-1)), qt.HasLen, 0)
+	qt.Check(t, p.TakeExpired(start.Add(3*time.Second)), qt.HasLen, 1)
+}
--- a/io/tbdaemon/relay.go
+++ b/io/tbdaemon/relay.go
@@ -107,14 +107,21 @@
 func (s *orderSender) maintain(ctx context.Context) {
 	ticker := time.NewTicker(pendingCheckInterval)
 	defer ticker.Stop()
+	lastCheck := s.d.clock.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
+		now := s.d.clock.Now()
 		s.mu.Lock()
-		expired := s.pending.TakeExpired(s.d.clock.Now())
+		if pause := now.Sub(lastCheck) - 2*pendingCheckInterval; pause > 0 {
+			// Results may wait in the sockets of a process that did not run.
+			s.pending.Postpone(pause)
+		}
+		lastCheck = now
+		expired := s.pending.TakeExpired(now)
 		isLeader := s.d.isConfirmedLeader.Load()
 		if !isLeader {
 			s.router.HandleLeadershipLost()
