--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -56,9 +56,10 @@
 	// LastHeardAt so far into the past that the worker gets no new tasks until the worker is heard
 	// from.
 	LastHeardAt time.Time
-	// Failures is the number of failures since the last run that ended successfully. Failed runs
-	// are failures, unless their job failed first on another worker. Refused starts are failures,
-	// unless the worker lacked room.
+	// Failures is the number of failures since the last run that ended successfully, or the last
+	// long-running task that finished its start-up. Failed runs are failures, unless their job failed
+	// first on another worker. Starts that the worker refused are failures, unless it lacked room or the
+	// start was overtaken or delayed on its way.
 	Failures int
 	// AvoidUntil is the time before which the worker gets no new tasks.
 	AvoidUntil time.Time
@@ -75,6 +76,11 @@
 	// poll that was not superseded.
 	Unresponsive bool
 
+	// avoidReason says why the worker gets no new tasks before AvoidUntil.
+	avoidReason UnusableReason
+	// unreachedAt is when the worker was last found not to be reached by a start. It is zero once the worker has
+	// answered an order since.
+	unreachedAt time.Time
 	// answeredAt is when this incarnation last answered a poll of this leader, or zero.
 	answeredAt time.Time
 	// registered is true from the first report until the worker signs off or is replaced. A
@@ -360,13 +366,6 @@
 // starts could fill the list of ends, whose length is limited.
 const maxUnackedEnds = 100
 
-// Usable reports whether the worker may get a new task now.
-func (f *Fleet) Usable(w *Worker, now time.Time) bool {
-	return w.registered && !w.Draining && !w.Unresponsive && !f.isSilent(w.ID) && !w.needsFence && w.lapse != lapsing && w.lastClockReading.isKnown() &&
-		w.unackedEndCount < maxUnackedEnds && now.Sub(w.LastHeardAt) < f.params.SilenceTimeout && !now.Before(w.AvoidUntil) &&
-		!now.Before(w.ObservedUntil) && !f.hasOverdueStart(w, now)
-}
-
 // EachRun calls visit for each run of the worker, in no particular order.
 func (w *Worker) EachRun(visit func(ref tbflow.TaskRef, r *Run)) {
 	for ref, r := range w.runs {
--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -155,7 +155,7 @@
 			f.markStartedByLaterIncarnation(now, w, a, run)
 			break
 		}
-		w.LastHeardAt = now
+		w.LastHeardAt, w.unreachedAt = now, time.Time{}
 		if run.Phase == RunOrdered {
 			run.Phase, run.confirmedAt = RunExecuting, now
 			run.noteExecuting(a.ClockMs)
@@ -167,6 +167,7 @@
 		f.markReplaced(now, w)
 	case NotSent:
 		f.output.LogEvents = append(f.output.LogEvents, LogEvent{Message: "start not sent", Worker: w.ID, Ref: a.Ref, Run: a.Run, Detail: a.Cause})
+		w.unreachedAt = now
 		f.proposeNeverRan(w, w.Incarnation, a.Ref, run)
 	case Unconfirmed:
 		f.output.LogEvents = append(f.output.LogEvents, LogEvent{Message: "start not answered", Worker: w.ID, Ref: a.Ref, Run: a.Run, Detail: a.Cause})
@@ -179,10 +180,10 @@
 			run.isConfirmed = true
 			run.noteAccepted(run.startSentAt)
 			w.noteDisconnect(now)
-			w.AvoidUntil = maxTime(w.AvoidUntil, now.Add(failedStartBackoff))
+			w.avoidLonger(now.Add(failedStartBackoff), AvoidedUnansweredStart)
 		default:
 			f.noteTimeout(now, w, run.startSentAt)
-			w.AvoidUntil = maxTime(w.AvoidUntil, now.Add(failedStartBackoff))
+			w.avoidLonger(now.Add(failedStartBackoff), AvoidedUnansweredStart)
 		}
 	}
 	f.reconcile(now, w)
@@ -204,11 +205,15 @@
 
 func (f *Fleet) handleStartRefused(now time.Time, w *Worker, a StartAnswered, run *Run) {
 	f.output.LogEvents = append(f.output.LogEvents, LogEvent{Message: "start refused", Worker: w.ID, Ref: a.Ref, Run: a.Run, Detail: a.Cause})
-	if a.Cause == CauseNoRoom {
-		w.AvoidUntil = now.Add(noRoomBackoff)
-	} else {
-		w.AvoidUntil = maxTime(w.AvoidUntil, now.Add(failedStartBackoff))
-		f.addFailure(now, w)
+	w.unreachedAt = time.Time{}
+	switch a.Cause {
+	case CauseNoRoom:
+		w.avoid(now.Add(noRoomBackoff), AvoidedNoRoom)
+	case CauseFence, CauseLate, CauseOld:
+		// The order was overtaken or delayed on its way, which says nothing about the worker.
+	default:
+		w.avoidLonger(now.Add(failedStartBackoff), AvoidedRefusedStart)
+		f.addFailure(now, w, AvoidedRefusedStart)
 	}
 	f.proposeNeverRan(w, w.Incarnation, a.Ref, run)
 }
@@ -217,23 +222,46 @@
 const (
 	// CauseNoRoom is the cause of a refusal for lack of capacity.
 	CauseNoRoom = "noRoom"
+	// CauseLate is the cause of a refusal of a start whose lease had expired when the start arrived.
+	CauseLate = "late"
+	// CauseOld is the cause of a refusal of a run that is not higher than one that was stopped or has ended there.
+	CauseOld = "old"
 	// CauseDisconnected is the cause of an unconfirmed start or poll if the worker closed the connection
 	// before it answered.
 	CauseDisconnected = "disconnected"
+	// CauseConnectTimeout is the cause of an order that was not sent, because no connection to the worker was
+	// established in time.
+	CauseConnectTimeout = "connectTimeout"
+	// CauseConnectRefused is the cause of an order that was not sent, because nothing listens at the worker's address.
+	CauseConnectRefused = "connectRefused"
+	// CauseConnectFailed is the cause of an order that was not sent for any other reason.
+	CauseConnectFailed = "connectFailed"
+	// CauseTimeout is the cause of an unconfirmed order that was not answered in time.
+	CauseTimeout = "timeout"
+	// CauseStatus begins the other causes of a refusal, which have the status of the response and the reason in it, if
+	// any, as in "status 409 ticket".
+	CauseStatus = "status "
+	// CauseFence is the cause of a refusal of an order whose token is lower than one that the worker has seen.
+	CauseFence = "fence"
 	// CauseNoResult is the cause of an unconfirmed order of which the relay that got it returned no result. It says
 	// nothing about the worker.
 	CauseNoResult = "no result from the relay"
 )
 
+// IsUnsent reports whether the cause of a refused order is that no part of the order was sent.
+func IsUnsent(cause string) bool {
+	return cause == CauseConnectTimeout || cause == CauseConnectRefused || cause == CauseConnectFailed
+}
+
 // addFailure adds a failure to the worker's count. After repeated failures, the worker is avoided
 // for a while.
-func (f *Fleet) addFailure(now time.Time, w *Worker) {
+func (f *Fleet) addFailure(now time.Time, w *Worker, reason UnusableReason) {
 	w.Failures++
 	if w.Failures < failuresBeforeBackoff {
 		return
 	}
 	doublings := min(w.Failures-failuresBeforeBackoff, 3)
-	w.AvoidUntil = now.Add(min(minBackoff<<doublings, maxBackoff))
+	w.avoid(now.Add(min(minBackoff<<doublings, maxBackoff)), reason)
 }
 
 // attributeFailure counts a failed run as a failure of the worker, unless the job failed first on
@@ -252,7 +280,7 @@
 	case firstWorker != w.ID:
 		return
 	}
-	f.addFailure(now, w)
+	f.addFailure(now, w, AvoidedFailures)
 }
 
 // Stop orders the worker to stop a run. The order is resent until the leader proposes to record an
@@ -272,7 +300,7 @@
 	if w == nil || w.runs[ref] == nil || w.runs[ref].stopRequested {
 		return
 	}
-	w.AvoidUntil = maxTime(w.AvoidUntil, now.Add(stallBackoff))
+	w.avoidLonger(now.Add(stallBackoff), AvoidedStalledRun)
 	f.output.LogEvents = append(f.output.LogEvents, LogEvent{Message: "run stands still", Worker: w.ID, Ref: ref, Run: w.runs[ref].Number})
 	f.Stop(now, worker, ref)
 }
--- a/core/tbfleet/poll.go
+++ b/core/tbfleet/poll.go
@@ -24,7 +24,7 @@
 // reconcile gives up the runs of a lost worker, and sends a registered worker the orders that are
 // due.
 func (f *Fleet) reconcile(now time.Time, w *Worker) {
-	if len(w.runs) == 0 && w.lastAckedEnd >= w.lastRecordedEnd && !w.Unresponsive && !w.needsFence && !f.outstanding.existAt(w) {
+	if len(w.runs) == 0 && w.lastAckedEnd >= w.lastRecordedEnd && !w.Unresponsive && w.unreachedAt.IsZero() && !w.needsFence && !f.outstanding.existAt(w) {
 		return
 	}
 	if (!w.registered || w.Unresponsive) && now.After(w.leaseExpiresAt) {
@@ -73,7 +73,7 @@
 		w.ackInFlight = true
 	}
 	timeToSettle := f.timeToSettle(now, w)
-	mayWait := w.hasAnswered && !w.Unresponsive && !w.needsRecheck() && !f.isSilent(w.ID) && timeToSettle >= 0
+	mayWait := w.hasAnswered && !w.Unresponsive && w.unreachedAt.IsZero() && !w.needsRecheck() && !f.isSilent(w.ID) && timeToSettle >= 0
 	hasUnansweredStart := f.hasUnansweredStart(w)
 	if f.mayRenew(now, w) {
 		poll.LeaseEndMs = f.renewLease(now, w)
@@ -192,7 +192,7 @@
 		return
 	case a.Outcome != Accepted:
 		if !w.Unresponsive {
-			f.output.LogEvents = append(f.output.LogEvents, LogEvent{Message: "worker does not answer", Worker: w.ID, Inputs: w.leaseLogInputs(now)})
+			f.output.LogEvents = append(f.output.LogEvents, LogEvent{Message: "worker does not answer", Worker: w.ID, Detail: a.Cause, Inputs: append(w.leaseLogInputs(now), "token", f.newTarget(w).Token)})
 		}
 		w.Unresponsive = true
 		if a.Cause == CauseDisconnected {
@@ -216,7 +216,7 @@
 		// longest lease.
 		w.leaseExpiresAt = maxTime(w.leaseExpiresAt, now.Add(f.maxLeaseDuration(f.params.MaxLease)))
 	}
-	w.Unresponsive, w.hasAnswered, w.needsFence = false, true, false
+	w.Unresponsive, w.hasAnswered, w.needsFence, w.unreachedAt = false, true, false, time.Time{}
 	w.pollWasLost = false
 	if a.LeaseEndMs > 0 {
 		w.renewalAnsweredFrom = a.SentAt
@@ -298,6 +298,9 @@
 		}
 		run.confirmedAt = maxTime(run.confirmedAt, a.SentAt)
 		run.noteExecuting(a.ClockMs)
+		if run.longRunning && r.Progress == startUpFinished && run.Progress < startUpFinished {
+			w.Failures = 0
+		}
 		if r.Progress != run.Progress || run.ProgressAt.IsZero() || run.Speed < FullSpeed || run.SpeedUnknown || run.speedUnconfirmed {
 			run.ProgressAt = now
 		}
@@ -311,6 +314,9 @@
 	}
 }
 
+// startUpFinished is the progress in percent of a long-running task that has finished its start-up.
+const startUpFinished = 100
+
 // newStray returns a stray, which may be among those of the last poll answer.
 func newStray(now time.Time, earlier []Stray, run tbflow.RunRef) Stray {
 	for _, s := range earlier {
@@ -405,7 +411,7 @@
 		if stopConfirmed && run.isConfirmed {
 			// The worker has executed the run and lists no end. A late poll for its earlier incarnation may
 			// have acknowledged the ends of this one, which then lists none of its next ends, either.
-			f.addFailure(now, w)
+			f.addFailure(now, w, AvoidedFailures)
 		}
 		isResolved := run.Phase == RunUnknown || startFencedOff || stopConfirmed
 		switch {
--- a/core/tbfleet/timeouts_test.go
+++ b/core/tbfleet/timeouts_test.go
@@ -7,8 +7,8 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// answerPolls lets worker a answer n polls after d, which it holds open for their whole wait, and returns the time.
-func answerPolls(f *Fleet, now time.Time, n int, d time.Duration) time.Time {
+// answerHeldPolls lets worker a answer n polls after d, which it holds open for their whole wait, and returns the time.
+func answerHeldPolls(f *Fleet, now time.Time, n int, d time.Duration) time.Time {
 	w := f.Worker("a")
 	for range n {
 		w.pollInFlight = true
@@ -34,7 +34,7 @@
 	for _, d := range []time.Duration{time.Millisecond, 20 * time.Millisecond, 100 * time.Millisecond} {
 		f, _, now := newStartsFixture(t)
 		for range 30 {
-			now = answerPolls(f, now, 1, d)
+			now = answerHeldPolls(f, now, 1, d)
 			qt.Check(t, f.orderTimeout(f.Worker("a")), qt.Equals, 400*time.Millisecond, qt.Commentf("%v", d))
 		}
 	}
@@ -42,24 +42,24 @@
 
 func TestTimeoutFollowsAnswerTimesInBothDirections(t *testing.T) {
 	f, _, now := newStartsFixture(t)
-	now = answerPolls(f, now, 10, 5*time.Millisecond)
-	now = answerPolls(f, now, 10, 600*time.Millisecond)
+	now = answerHeldPolls(f, now, 10, 5*time.Millisecond)
+	now = answerHeldPolls(f, now, 10, 600*time.Millisecond)
 	slow := f.orderTimeout(f.Worker("a"))
 	qt.Check(t, slow > 600*time.Millisecond && slow <= f.params.maxAnswerTime(), qt.IsTrue, qt.Commentf("%v", slow))
-	answerPolls(f, now, 20, 5*time.Millisecond)
+	answerHeldPolls(f, now, 20, 5*time.Millisecond)
 	qt.Check(t, f.orderTimeout(f.Worker("a")), qt.Equals, 400*time.Millisecond)
 }
 
 func TestTimeoutDoublesOnlyForWorkersThatReport(t *testing.T) {
 	f, _, now := newStartsFixture(t)
 	f.params.SilenceTimeout, f.params.Lease = 3500*time.Millisecond, 12*time.Second
-	now = answerPolls(f, now, 3, 5*time.Millisecond)
+	now = answerHeldPolls(f, now, 3, 5*time.Millisecond)
 	for _, want := range []time.Duration{800 * time.Millisecond, 1600 * time.Millisecond} {
 		now = failPoll(f, now)
 		qt.Check(t, f.orderTimeout(f.Worker("a")), qt.Equals, want)
 	}
 	// The next answer says how slow the worker is.
-	now = answerPolls(f, now, 1, 5*time.Millisecond)
+	now = answerHeldPolls(f, now, 1, 5*time.Millisecond)
 	qt.Check(t, f.orderTimeout(f.Worker("a")), qt.Equals, 400*time.Millisecond)
 	now = now.Add(f.params.SilenceTimeout)
 	failPoll(f, now)
