--- a/io/tbsettings/settings.go
+++ b/io/tbsettings/settings.go
@@ -79,7 +79,7 @@
 	MaxOrderDelay time.Duration
 	// PollWait (key lookWait) is how long a worker holds a poll open while no run ends.
 	PollWait time.Duration
-	// OrderTimeout is the time without an answer after which an order is unconfirmed.
+	// OrderTimeout is the least time without an answer after which an order is unconfirmed.
 	OrderTimeout time.Duration
 	// SilenceTimeout (key heartbeatSilence) is the time without a heartbeat after which a worker gets no new tasks.
 	SilenceTimeout time.Duration
