--- a/core/tbcontrol/leader_load_fake_test.go
+++ b/core/tbcontrol/leader_load_fake_test.go
@@ -51,6 +51,9 @@
 	runTimes    map[string]time.Duration
 	lastRequest uint64
 	jobs        []*loadJob
+	// callersBackOff is true if callers without an answer ask again after a second and then after twice as long each time,
+	// as the users' contract says, and not every 400 ms.
+	callersBackOff bool
 	// fillWaits holds the times from when best-effort tasks could start until they were assigned.
 	fillWaits []time.Duration
 	// assignedRuns holds the descriptions of the best-effort runs that were assigned, up to the worker.
@@ -185,6 +188,8 @@
 	job         tbflow.Job
 	submittedAt time.Time
 	objective   time.Duration
+	// unanswered is the number of times that the caller has got no answer.
+	unanswered int
 }
 
 // Queues of the simulated load.
@@ -197,6 +202,11 @@
 var loadWorkerCapacity = tbresource.Amount{MilliProcessors: 32_000, MemoryMB: 125_000}
 
 func newLoadSimulation(t testing.TB, seed uint64, workers int, slowdown float64) *loadSimulation {
+	return newScheduledSimulation(t, seed, workers, slowdown, tbassign.Features{})
+}
+
+// newScheduledSimulation returns a simulation whose replicas make the given optional decisions.
+func newScheduledSimulation(t testing.TB, seed uint64, workers int, slowdown float64, features tbassign.Features) *loadSimulation {
 	s := &loadSimulation{
 		assignedRuns: map[string]bool{}, stoppedTasks: map[tbflow.TaskRef]time.Time{},
 		t: t, rng: rand.New(rand.NewPCG(seed, 40)), now: time.UnixMilli(1_700_000_000_000), byID: map[string]*loadWorker{}, slowdown: slowdown, workerDelay: 4 * time.Millisecond,
@@ -213,7 +223,8 @@
 				MaxBatchBytes: 64 << 10, MaxInFlightBytes: 256 << 10, ChunkBytes: 256 << 10, Seed: uint64(m.ID),
 			},
 			SnapshotEvery: 1 << 40, MaxInFlight: 2, MaxBatchCommands: 512, MaxBatchBytes: 512 << 10, MaxWaiting: 20_000, MaxApplied: 64,
-			Placement: tbplacement.DefaultConfig(), PlacementInterval: 50 * time.Millisecond, GrantInterval: 250 * time.Millisecond,
+			Scheduling: features,
+			Placement:  tbplacement.DefaultConfig(), PlacementInterval: 50 * time.Millisecond, GrantInterval: 250 * time.Millisecond,
 			Fleet: tbfleet.Params{
 				Lease: 6 * time.Second, MaxLease: 6 * time.Second, MaxOrderDelay: 12 * time.Second, MaxDeliveryDelay: 12 * time.Second, ClockRateBound: 0.02,
 				PollWait: loadPollWait, OrderTimeout: 400 * time.Millisecond, SilenceTimeout: 3 * time.Second, PollRetryDelay: 250 * time.Millisecond,
@@ -669,7 +680,12 @@
 				}
 			} else if !ok && !r.stopped {
 				// The answer is still to come.
-				s.at(s.now.Add(200*time.Millisecond), func() {
+				wait := 200 * time.Millisecond
+				if s.callersBackOff {
+					wait = time.Second<<min(j.unanswered, 4) - 200*time.Millisecond
+				}
+				j.unanswered++
+				s.at(s.now.Add(wait), func() {
 					if _, ok := r.answers[request]; !ok {
 						s.trySubmit(j)
 					}
@@ -759,7 +775,22 @@
 // onTimeShare returns the share of the jobs of a queue, submitted between two times, that ended within their
 // objective.
 func (s *loadSimulation) onTimeShare(queue string, from, to time.Time) (share float64, jobs int) {
-	onTime := 0
+	return s.endedShare(queue, from, to, 1)
+}
+
+// usefulShare returns the share of the jobs of a queue, submitted between two times, that ended while their results were
+// of use.
+func (s *loadSimulation) usefulShare(queue string, from, to time.Time) (share float64, jobs int) {
+	return s.endedShare(queue, from, to, usefulObjectives)
+}
+
+// usefulObjectives is the number of objectives for which the result of a job is of use.
+const usefulObjectives = 3
+
+// endedShare returns the share of the jobs of a queue, submitted between two times, that ended within a number of
+// objectives.
+func (s *loadSimulation) endedShare(queue string, from, to time.Time, objectives int64) (share float64, jobs int) {
+	ended := 0
 	r := s.leader()
 	qt.Assert(s.t, r, qt.IsNotNil, qt.Commentf("there is no leader at the end"))
 	for _, j := range s.jobs {
@@ -768,9 +799,9 @@
 		}
 		jobs++
 		state := r.control.State().Flow.Jobs[j.id]
-		if state != nil && state.Phase == tbflow.Completed && state.EndedMs-j.submittedAt.UnixMilli() <= j.objective.Milliseconds() {
-			onTime++
+		if state != nil && state.Phase == tbflow.Completed && state.EndedMs-j.submittedAt.UnixMilli() <= objectives*j.objective.Milliseconds() {
+			ended++
 		}
 	}
-	return float64(onTime) / float64(max(1, jobs)), jobs
+	return float64(ended) / float64(max(1, jobs)), jobs
 }
