Take a second for the first timeout, as RFC 6298 does

Cause: until a worker has answered, its orders timed out after 400 ms. Change: the first timeout follows the usual answer time of all workers, and is a second while none is known.

--- a/core/tbfleet/timeouts.go
+++ b/core/tbfleet/timeouts.go
@@ -33,9 +33,21 @@
 	return max(p.OrderTimeout, (p.Lease-max(p.maxPollWait(), p.renewalInterval()))/2)
 }
 
-// orderTimeout returns the timeout of an order to the worker, not counting the time for which it may hold a poll open.
+// initialTimeout is the timeout of an order while no answer time is known, as in RFC 6298.
+const initialTimeout = time.Second
+
+// orderTimeout returns the timeout of an order to the worker, not counting the time for which it may hold a poll open. Until
+// the worker has answered, it follows the usual answer time of all workers.
 func (f *Fleet) orderTimeout(w *Worker) time.Duration {
-	return min(max(f.params.OrderTimeout, w.answers.bound(), w.backedOffTimeout), f.params.maxAnswerTime())
+	bound := w.answers.bound()
+	switch {
+	case w.answers.smoothed > 0:
+	case f.answers.smoothed > 0:
+		bound = f.answers.bound()
+	default:
+		bound = initialTimeout
+	}
+	return min(max(f.params.OrderTimeout, bound, w.backedOffTimeout), f.params.maxAnswerTime())
 }
 
 // noteAnswerTime records how long an order to the worker took to be answered.
