Renew leases while ends are not recorded yet

Callers see: runs of workers that are well end, and start elsewhere, when the commits of the leader are slow. Cause: polls renew the lease, and pollIfDue sent none while a proposed end was not recorded. A worker with one end and one executing run lost the latter if the commit took longer than the lease. Change: a poll is sent meanwhile if a renewal is due (a third of the lease since the last answered one) and some run is not ending, or to find out whether a worker that did not answer does so again. It does not wait, as the worker answers at once while it has ends. proposeEnds passes over ends that are proposed already, which such a poll lists again; they would also have counted again as failures of the worker. Seen (go test ./core/tbfleet): before, TestLeaseIsRenewedWhileAnEndIsNotRecordedYet failed with "no renewal for 3s, the lease is 4s"; now it passes, and so does the package with its schedules (85 s at a load of about 30).

--- a/core/tbfleet/poll.go
+++ b/core/tbfleet/poll.go
@@ -60,9 +60,11 @@
 }
 
 // pollIfDue sends a poll, except in these cases: a poll is in flight, it is too early for the next
-// poll, proposed ends are not recorded yet, or there is no permit.
+// poll, proposed ends are not recorded yet and no lease has to be kept, or there is no permit.
 func (f *Fleet) pollIfDue(now time.Time, w *Worker) {
-	if w.pollInFlight || now.Before(w.nextPollAt) || w.lastProposedEnd > w.lastRecordedEnd || !f.acquirePermit(w) {
+	// A worker answers at once as long as it has ends that are not acknowledged.
+	awaitsRecord := w.lastProposedEnd > w.lastRecordedEnd
+	if w.pollInFlight || now.Before(w.nextPollAt) || awaitsRecord && !f.isRenewalDue(now, w) || !f.acquirePermit(w) {
 		return
 	}
 	poll := Poll{Target: f.newTarget(w), Timeout: f.orderTimeout(w)}
@@ -73,7 +75,7 @@
 		w.ackInFlight = true
 	}
 	timeToSettle := f.timeToSettle(now, w)
-	mayWait := w.hasAnswered && !w.Unresponsive && w.unreachedAt.IsZero() && !w.needsRecheck() && !f.isSilent(w.ID) && timeToSettle >= 0
+	mayWait := !awaitsRecord && w.hasAnswered && !w.Unresponsive && w.unreachedAt.IsZero() && !w.needsRecheck() && !f.isSilent(w.ID) && timeToSettle >= 0
 	hasUnansweredStart := f.hasUnansweredStart(w)
 	if f.mayRenew(now, w) {
 		poll.LeaseEndMs = f.renewLease(now, w)
@@ -339,9 +341,10 @@
 // not an end of the worker. If it were recorded, all further ends of the worker would count as recorded.
 const maxEndNumberGap = 1 << 20
 
-// proposeEnds proposes to record all listed ends that are not recorded yet.
+// proposeEnds proposes to record all listed ends that are neither recorded nor proposed yet.
 func (f *Fleet) proposeEnds(now time.Time, w *Worker, a PollAnswered) {
-	lastListedEnd := w.lastRecordedEnd
+	lastKnownEnd := max(w.lastRecordedEnd, w.lastProposedEnd)
+	lastListedEnd := lastKnownEnd
 	w.unackedEndCount, w.unassignedEnds = 0, nil
 	cmd := tbflow.RecordEnds{Worker: w.ID, Incarnation: w.Incarnation}
 	for _, e := range a.Ended {
@@ -353,16 +356,20 @@
 			continue
 		}
 		lastListedEnd = max(lastListedEnd, e.Number)
+		isProposed := e.Number <= lastKnownEnd
 		run := w.runs[e.Ref]
 		if run == nil || run.Number != e.Run {
 			if r := (tbflow.RunRef{Ref: e.Ref, Run: e.Run}); f.outstanding.findAt(w.ID, r) != nil && !f.isOvertaken(w, a, r) {
 				// The worker has executed an outstanding start.
 				w.unassignedEnds = append(w.unassignedEnds, r)
+				if isProposed {
+					continue
+				}
 				cmd.Ends = append(cmd.Ends, tbflow.End{Ref: e.Ref, Run: e.Run, Kind: e.Kind, Checkpoint: e.Checkpoint})
 			}
 			continue
 		}
-		if f.isOvertaken(w, a, tbflow.RunRef{Ref: e.Ref, Run: e.Run}) {
+		if isProposed || f.isOvertaken(w, a, tbflow.RunRef{Ref: e.Ref, Run: e.Run}) {
 			continue
 		}
 		run.Phase = RunEnding
@@ -379,7 +386,7 @@
 			f.attributeFailure(now, w, e.Ref.Job)
 		}
 	}
-	if lastListedEnd > w.lastRecordedEnd {
+	if lastListedEnd > lastKnownEnd {
 		w.lastProposedEnd = lastListedEnd
 		cmd.LastEnd = lastListedEnd
 		f.output.Commands = append(f.output.Commands, cmd)
--- a/core/tbfleet/renewals.go
+++ b/core/tbfleet/renewals.go
@@ -33,6 +33,20 @@
 	return !f.hasUnansweredStart(w) || now.Sub(w.renewalAnsweredFrom) >= f.params.renewalInterval()
 }
 
+// isRenewalDue reports whether a worker with executing runs has to be polled so that they keep their lease. A worker that does not
+// answer has to answer before its lease is renewed.
+func (f *Fleet) isRenewalDue(now time.Time, w *Worker) bool {
+	if !w.Unresponsive && (!f.mayRenew(now, w) || now.Sub(w.renewalAnsweredFrom) < f.params.renewalInterval()) {
+		return false
+	}
+	for _, run := range w.runs {
+		if run.Phase != RunEnding {
+			return true
+		}
+	}
+	return false
+}
+
 // hasUnansweredStart reports whether a start to the worker or to its address got no answer and may still be executed.
 // A start that is in flight does not count, because a renewal beside it hardly prolongs the wait for it.
 func (f *Fleet) hasUnansweredStart(w *Worker) bool {
