Count silence from the first poll that failed

Callers see: a worker without runs gets a task, its first poll is lost on the way, and it gets no further starts and no renewals until it answers and a commit ends its silence. Cause: proposeSilences counted from the last answered poll. Workers without runs are not polled, so that one lost poll ended a silence of any length; the same held for the first poll after a restart. Change: the silence counts from the sending of the first failed poll of the present series, from the takeover or from the last answer, whichever is latest. An accepted start counts as an answer. Reports do not: a worker that reports may get no orders. What a later leader concludes stays true, since it counts from the entry that records the silence, and no start or renewal is sent after its proposal.

--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -81,8 +81,10 @@
 	// unreachedAt is when the worker was last found not to be reached by a start. It is zero once the worker has
 	// answered an order since.
 	unreachedAt time.Time
-	// answeredAt is when this incarnation last answered a poll of this leader, or zero.
-	answeredAt time.Time
+	// answeredAt is when this incarnation last answered a poll of this leader or accepted a start, or zero. pollsFailFrom is when
+	// the first of the polls since was sent that have failed.
+	answeredAt    time.Time
+	pollsFailFrom time.Time
 	// registered is true from the first report until the worker signs off or is replaced. A
 	// takeover sets registered without a report if the worker's address is recorded.
 	registered bool
--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -155,7 +155,7 @@
 			f.markStartedByLaterIncarnation(now, w, a, run)
 			break
 		}
-		w.LastHeardAt, w.unreachedAt = now, time.Time{}
+		w.LastHeardAt, w.answeredAt, w.unreachedAt = now, now, time.Time{}
 		if run.Phase == RunOrdered {
 			run.Phase, run.confirmedAt = RunExecuting, now
 			run.noteExecuting(a.ClockMs)
--- a/core/tbfleet/poll.go
+++ b/core/tbfleet/poll.go
@@ -194,6 +194,7 @@
 		return
 	case a.Outcome != Accepted:
 		if !w.Unresponsive {
+			w.pollsFailFrom = a.SentAt
 			f.output.LogEvents = append(f.output.LogEvents, LogEvent{Message: "worker does not answer", Worker: w.ID, Detail: a.Cause, Inputs: append(w.leaseLogInputs(now), "token", f.newTarget(w).Token)})
 		}
 		w.Unresponsive = true
--- a/core/tbfleet/silence.go
+++ b/core/tbfleet/silence.go
@@ -6,8 +6,8 @@
 	"tamarackbarrow/core/tbflow"
 )
 
-// silenceAfter is the time without an answered poll after which a worker that does not answer is recorded as silent. Most workers
-// that are slow answer earlier.
+// silenceAfter is the time without an answer, while the worker is polled, after which it is recorded as silent. Most workers that are
+// slow answer earlier.
 const silenceAfter = 2 * time.Second
 
 // silence is the silence of one worker, from its proposal until its end is recorded.
@@ -22,7 +22,7 @@
 // proposeSilences proposes to record the silence of workers, and the end of silences that nothing depends on.
 func (f *Fleet) proposeSilences(now time.Time) {
 	for _, w := range f.sortedWorkers {
-		if w.Unresponsive && now.Sub(maxTime(w.answeredAt, f.takenOverAt)) > silenceAfter {
+		if w.Unresponsive && now.Sub(f.unansweredFrom(w)) > silenceAfter {
 			f.proposeSilence(w.ID)
 		}
 	}
@@ -33,6 +33,14 @@
 	}
 }
 
+// unansweredFrom returns when the first poll was sent that a worker that does not answer has left unanswered, or when it last answered
+// an order or this leader took over, if that was later. Workers without runs are not polled, so that their last answer may be old.
+//
+// Reports do not count: a worker may send them and get no orders.
+func (f *Fleet) unansweredFrom(w *Worker) time.Time {
+	return maxTime(maxTime(w.answeredAt, f.takenOverAt), w.pollsFailFrom)
+}
+
 // proposeSilence proposes to record that a worker gets no starts and no renewals from now on, if anything depends on its
 // lease.
 func (f *Fleet) proposeSilence(id string) {
