Let the polls in flight follow the rate of answers

Callers see: after a takeover of a large fleet that answers slowly, workers can be used only seconds later. Cause: 128 polls in flight to unreached workers without runs (256 in all), whatever their answers take. By Little's law they reach 128 workers in each answer time.

--- a/core/tbfleet/fleet.go
+++ b/core/tbfleet/fleet.go
@@ -29,6 +29,7 @@
 	crashesByAddress map[string]machineCrashes
 	// pollPermits holds the polls in flight to unreached workers, see isUnreached.
 	pollPermits map[incarnationKey]bool
+	permits     permitWindow
 	// lastPermitIndex is the index in sortedWorkers of the worker that last got a released permit.
 	lastPermitIndex int
 	// savesPolls is set by SavePolls.
--- a/core/tbfleet/poll.go
+++ b/core/tbfleet/poll.go
@@ -64,7 +64,7 @@
 func (f *Fleet) pollIfDue(now time.Time, w *Worker) {
 	// A worker answers at once as long as it has ends that are not acknowledged.
 	awaitsRecord := w.lastProposedEnd > w.lastRecordedEnd
-	if w.pollInFlight || now.Before(w.nextPollAt) || awaitsRecord && !f.isRenewalDue(now, w) || !f.acquirePermit(w) {
+	if w.pollInFlight || now.Before(w.nextPollAt) || awaitsRecord && !f.isRenewalDue(now, w) || !f.acquirePermit(now, w) {
 		return
 	}
 	poll := Poll{Target: f.newTarget(w), Timeout: f.orderTimeout(w)}
