Do not count starts on reset connections as failures of the worker

Callers see: after connections to a worker were reset, it gets no starts for up to 8 s. Cause: a connection that is closed before a start is answered may be a crash under the run, so the run counted as received. If the worker then confirmed the stop and did not list the run, resolveMissing counted a failure of the worker, for each start. Change: only runs that the worker has accepted or listed, and whose end it does not list, count as failures.

--- a/core/tbfleet/poll.go
+++ b/core/tbfleet/poll.go
@@ -416,7 +416,7 @@
 		}
 		stopConfirmed := !run.stopConfirmedAt.IsZero() && a.SentAt.After(run.stopConfirmedAt)
 		startFencedOff := run.earlierIncarnation != 0 && a.SentAt.After(run.confirmedAt)
-		if stopConfirmed && run.isConfirmed {
+		if stopConfirmed && run.wasExecuting {
 			// The worker has executed the run and lists no end. A late poll for its earlier incarnation may
 			// have acknowledged the ends of this one, which then lists none of its next ends, either.
 			f.addFailure(now, w, AvoidedFailures)
--- a/core/tbfleet/run.go
+++ b/core/tbfleet/run.go
@@ -57,6 +57,8 @@
 	// isConfirmed is true if the worker is known to have received the start: it has accepted the start,
 	// listed the run, or closed the connection instead of answering.
 	isConfirmed bool
+	// wasExecuting is true if the worker is known to have executed the run: it has accepted the start or listed the run.
+	wasExecuting bool
 	// acceptedAt is when the worker is first known to have executed the run, or zero.
 	acceptedAt time.Time
 	// executingSinceMs and executingUntilMs are the first and the newest time, on the worker's clock, at
--- a/core/tbfleet/run_time.go
+++ b/core/tbfleet/run_time.go
@@ -31,14 +31,14 @@
 	// The clocks of leaders differ, so that sinceAssignment may be too long. A lease is a wide margin for that.
 	r.timeBeforeTerm = max(0, sinceAssignment-lease)
 	if r.timeBeforeTerm > 0 && r.listed {
-		r.earlierRunTime, r.isConfirmed = r.timeBeforeTerm, true
+		r.earlierRunTime, r.isConfirmed, r.wasExecuting = r.timeBeforeTerm, true, true
 	}
 }
 
 // noteExecuting records that the run was executing when the worker's clock showed clockMs. It is 0 if the
 // worker gave no time.
 func (r *Run) noteExecuting(clockMs int64) {
-	r.isConfirmed = true
+	r.isConfirmed, r.wasExecuting = true, true
 	if clockMs == 0 {
 		return
 	}
@@ -50,7 +50,7 @@
 
 // forgetRunTime forgets what is known of an execution, because the worker has restarted.
 func (r *Run) forgetRunTime() {
-	r.executingSinceMs, r.executingUntilMs, r.isConfirmed = 0, 0, false
+	r.executingSinceMs, r.executingUntilMs, r.isConfirmed, r.wasExecuting = 0, 0, false, false
 	r.earlierRunTime, r.timeBeforeTerm, r.acceptedAt = 0, 0, time.Time{}
 }
 
