Do not lengthen the backoff of a worker by failures of one job

Callers see: after some runs of one job have failed on its only worker, nothing of the job starts for up to 8 s. Cause: each failed run of the job that failed first on a worker counted, and the backoff doubles with each. Change: repeated failures of one job make the leader avoid the worker for the backoff that it has reached, 1 s if no other job has failed there, without lengthening it. They still count as two: a machine on which every run fails would otherwise take all tasks of a job.

--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -257,6 +257,11 @@
 // for a while.
 func (f *Fleet) addFailure(now time.Time, w *Worker, reason UnusableReason) {
 	w.Failures++
+	w.backOff(now, reason)
+}
+
+// backOff avoids a worker after a failure, if there were enough in a row.
+func (w *Worker) backOff(now time.Time, reason UnusableReason) {
 	if w.Failures < failuresBeforeBackoff {
 		return
 	}
@@ -268,7 +273,9 @@
 // another worker.
 //
 // A job that cannot succeed fails on every worker that gets one of its tasks. If all these workers
-// were blamed, a few such jobs would make the leader avoid the whole pool.
+// were blamed, a few such jobs would make the leader avoid the whole pool. Failures of one job on a single worker
+// do not tell which of the two is faulty. They make the leader avoid the worker, so that it does not get all tasks of
+// the job, but not for longer with each failure, because the job may have no other worker.
 func (f *Fleet) attributeFailure(now time.Time, w *Worker, job string) {
 	firstWorker, hasFailed := f.firstFailedOn[job]
 	switch {
@@ -279,6 +286,9 @@
 		f.firstFailedOn[job] = w.ID
 	case firstWorker != w.ID:
 		return
+	case w.Failures >= failuresBeforeBackoff:
+		w.backOff(now, AvoidedFailures)
+		return
 	}
 	f.addFailure(now, w, AvoidedFailures)
 }
