Play schedules with slow commits

Cause: no random schedule had commits that take longer than a lease under a leader that goes on polling, and none checked that workers that are well keep their lease and are not taken for silent. Change: TestSchedulesWithSlowCommits, with a random source of its own, so that the other schedules play as before.

--- a/core/tbfleet/leader_fake_test.go
+++ b/core/tbfleet/leader_fake_test.go
@@ -102,7 +102,7 @@
 
 // commit applies the proposals that a quorum has stored on disk.
 func (sim *simulation) commit() {
-	if sim.now.Before(sim.leader.quorumBackAt) {
+	if sim.now.Before(sim.leader.quorumBackAt) || sim.commitsPause() {
 		return
 	}
 	for len(sim.pendingProposals) > 0 && sim.now.Sub(sim.pendingProposals[0].proposedAt) >= commitDelay {
@@ -330,6 +330,7 @@
 		slices.SortStableFunc(out.Orders, func(a, b tbfleet.Order) int { return strings.Compare(orderKey(a), orderKey(b)) })
 	}
 	for _, c := range out.Commands {
+		sim.checkNotSilent(c)
 		sim.propose(c)
 	}
 	for _, n := range out.LogEvents {
--- a/core/tbfleet/network_fake_test.go
+++ b/core/tbfleet/network_fake_test.go
@@ -117,6 +117,10 @@
 		sim.schedule(timeout, func() { sim.deliverAnswer(l, issuedAt, c, answer) })
 		return
 	}
+	if sim.losesPoll(c, target.Address) {
+		sim.schedule(timeout, func() { sim.deliverAnswer(l, issuedAt, c, unconfirmed) })
+		return
+	}
 	deliverNoAnswer := func() { sim.deliverAnswer(l, issuedAt, c, unconfirmed) }
 	if sim.slowRNG != nil && sim.injectsFaults && sim.slowRNG.Float64() < lostResultRate {
 		answerLost = true
--- a/core/tbfleet/schedule_test.go
+++ b/core/tbfleet/schedule_test.go
@@ -108,6 +108,8 @@
 	// longTimeouts is the number of orders with a longer timeout than usual.
 	longTimeouts int
 	params       tbfleet.Params
+	// slowCommits is nil if commits are not delayed.
+	slowCommits *slowCommits
 }
 
 func newSimulation(t *testing.T, seed uint64) *simulation {
@@ -226,12 +228,14 @@
 			e.do()
 		}
 		sim.eachWorker(func(fw *fakeWorker) {
+			sim.checkKeepsLease(fw)
 			fw.advance(sim.now)
 			if sim.now.Sub(fw.startedAt)%heartbeatInterval < tick {
 				sim.sendReport(fw)
 			}
 			sim.checkAvoided(fw)
 		})
+		sim.injectSlowCommits()
 		sim.advanceLeader(n)
 		if sim.injectsFaults && sim.rng.Float64() < faultRatePerTick {
 			sim.injectFault()
