Let tasks that fit nowhere else use avoided workers

Cause: a worker that is avoided after failures was not usable at all, also for a task that no other worker can take, as the worker with its label. The backoff grows to 8 s; the worker of a task's own last failure is avoided for 1.5 s only. Change: a task or gang that has waited for more than 1.5 s, and that no usable worker takes, may start on a worker that is avoided after failed runs, refused starts or stalled runs and that nothing else excludes. The one with the fewest failures comes first, that of the task's last failure last. Each takes one task or gang from a plan, and a failed task waits for 1.5 s again. While half of the class is in use, only long-running tasks do so: of a backlog, all tasks have waited for long. The reference planner has the rule on its own. Tests: TestTaskIsNotHeldByTheBackoffOfItsOnlyWorker failed with 8 s, bound 3 s. The random schedules of waiting work have workers whose runs stall for seconds: 62 of 300 failed with the former place.go, none now. In the equivalence test, a quarter of the fixtures avoid workers. Why it works: the wait is bounded by 1.5 s and a plan, whatever the backoff. Not covered: bound tasks (outstanding starts) whose place is avoided still wait for the backoff; the cost of plans was not measured.

--- a/core/tbassign/considered_workers.go
+++ b/core/tbassign/considered_workers.go
@@ -114,10 +114,15 @@
 // whyExcluded returns the reason why no plan may use a worker now, or an empty string. A worker that does not refuse tasks
 // that exceed its capacity has to have reported its capacity lately.
 func whyExcluded(now time.Time, s *tbflow.State, f *tbfleet.Fleet, w *tbfleet.Worker) string {
-	reason := f.WhyUnusable(w, now)
-	switch {
-	case reason != tbfleet.NotUnusable:
+	if reason := f.WhyUnusable(w, now); reason != tbfleet.NotUnusable {
 		return reason.String()
+	}
+	return whyUnsuited(now, s, f, w)
+}
+
+// whyUnsuited is whyExcluded without the reasons that the fleet knows.
+func whyUnsuited(now time.Time, s *tbflow.State, f *tbfleet.Fleet, w *tbfleet.Worker) string {
+	switch {
 	case s.IsEvacuated(w.DataCentre):
 		return "evacuated"
 	case !s.Config.EnforcesCapacity(w.Class) && !f.KnowsCapacity(w, now):
@@ -149,6 +154,22 @@
 	if w == nil || whyExcluded(p.now, p.state, f, w) != "" {
 		return false
 	}
+	r := p.newWorkerState(w)
+	if r == nil {
+		return false
+	}
+	if r.classUse = p.classUse[w.Class]; r.classUse == nil {
+		r.classUse = &classUse{}
+		p.classUse[w.Class] = r.classUse
+	}
+	r.classUse.add(r)
+	r.classIndex = len(p.workersByClass[w.Class])
+	p.workersByClass[w.Class] = append(p.workersByClass[w.Class], r)
+	return true
+}
+
+// newWorkerState returns a worker with its free capacity, or nil if that is unknown.
+func (p *planState) newWorkerState(w *tbfleet.Worker) *workerState {
 	use := p.state.Usage(w.ID)
 	for _, stray := range w.Strays {
 		step := p.state.StepOf(stray.Ref)
@@ -157,24 +178,18 @@
 			use.Add(step)
 		case p.now.Sub(stray.Since) <= unknownStrayTimeout:
 			// The stray occupies an unknown capacity.
-			return false
+			return nil
 		}
 	}
 	b := &p.learner.planBuffers
 	b.states = b.states[:len(b.states)+1]
 	r := &b.states[len(b.states)-1]
 	*r = workerState{
-		worker: w, classIndex: len(p.workersByClass[w.Class]), free: w.Capacity.Sub(use.Reserved),
+		worker: w, free: w.Capacity.Sub(use.Reserved),
 		unusedMillicores:  w.Capacity.MilliProcessors - use.BestEffortMilliProcessors,
 		longRunningCounts: r.longRunningCounts[:0], margins: r.margins[:0], plannedBestEffort: r.plannedBestEffort[:0],
 		harmlessSum: math.NaN(), slowPenalty: p.learner.slowPenalty(p.now, w.ID),
-		bestEffortMillicores: use.BestEffortMilliProcessors, classUse: p.classUse[w.Class],
-	}
-	if r.classUse == nil {
-		r.classUse = &classUse{}
-		p.classUse[w.Class] = r.classUse
+		bestEffortMillicores: use.BestEffortMilliProcessors,
 	}
-	r.classUse.add(r)
-	p.workersByClass[w.Class] = append(p.workersByClass[w.Class], r)
-	return true
+	return r
 }
--- a/core/tbassign/place.go
+++ b/core/tbassign/place.go
@@ -36,7 +36,9 @@
 // place assigns as many tasks of a step as fit, but at most limit. A gang is assigned completely
 // or not at all.
 func (p *planState) place(w *waitingStep, limit int) []tbflow.Assignment {
-	if p.isUnplaceable(w) {
+	avoided := lastResorts{planState: p, step: w}
+	noneFits := p.isUnplaceable(w)
+	if noneFits && avoided.isEmpty() {
 		return nil
 	}
 	p.countAssignedTasks(w)
@@ -67,7 +69,7 @@
 				continue
 			}
 		}
-		if r == nil {
+		if r == nil && !noneFits {
 			if cs == nil {
 				cs = p.scoreWorkers(w)
 			}
@@ -76,10 +78,14 @@
 			}
 		}
 		if r == nil {
-			p.noteHeld(w, ref, t, "")
 			// The tasks of a step differ only in the worker that they avoid. If this task avoids
 			// none, the search for a worker would fail for the other tasks too.
-			if t.LastFailedOn == "" {
+			noneFits = noneFits || t.LastFailedOn == ""
+			r = avoided.choose(t)
+		}
+		if r == nil {
+			p.noteHeld(w, ref, t, "")
+			if noneFits && avoided.isEmpty() {
 				unplaced = len(w.waitingTasks()) - len(plan)
 				break
 			}
@@ -169,26 +175,44 @@
 	for i := range tasks {
 		run = max(run, tasks[i].Run)
 	}
-	var plan []tbflow.Assignment
-	var assignedWorkers []*workerState
 	use := p.classUse[w.job.WorkerClass]
 	w.startsInRoom = use != nil && !use.keepsRoom()
+	plan := p.placeMembers(w, run+1, nil)
+	if plan == nil {
+		if avoided := (&lastResorts{planState: p, step: w}); !avoided.isEmpty() {
+			w.startsInRoom = true
+			plan = p.placeMembers(w, run+1, avoided)
+		}
+	}
+	if plan == nil {
+		p.reserveRoom(w, len(tasks))
+		return nil
+	}
+	p.reserveRoom(w, 0)
+	return plan
+}
+
+// placeMembers assigns all tasks of a gang, or none. If avoided is not nil, its workers take the tasks that fit on no other.
+func (p *planState) placeMembers(w *waitingStep, run uint64, avoided *lastResorts) []tbflow.Assignment {
+	var plan []tbflow.Assignment
+	var assignedWorkers []*workerState
 	cs := p.scoreWorkers(w)
 	for _, ref := range w.waitingTasks() {
 		r := p.placeMember(w, ref, cs)
+		if r == nil && avoided != nil && !p.state.IsBound(ref) {
+			r = avoided.choose(w.job.Task(ref))
+		}
 		if r == nil {
 			for _, r := range assignedWorkers {
 				p.release(r, w)
 			}
-			p.reserveRoom(w, len(tasks))
 			return nil
 		}
 		p.allocate(r, w)
 		cs.rescore(r)
 		assignedWorkers = append(assignedWorkers, r)
-		plan = append(plan, tbflow.Assignment{Ref: ref, Run: run + 1, Worker: r.worker.ID, Incarnation: r.worker.Incarnation})
+		plan = append(plan, tbflow.Assignment{Ref: ref, Run: run, Worker: r.worker.ID, Incarnation: r.worker.Incarnation})
 	}
-	p.reserveRoom(w, 0)
 	return plan
 }
 
@@ -254,6 +278,9 @@
 }
 
 func (c *candidates) rescore(r *workerState) {
+	if r.isAvoided {
+		return
+	}
 	c.scoredWorkers++
 	c.scores[r.classIndex], c.usesHeadroom[r.classIndex] = infeasibleScore, false
 	c.takesLarge[r.classIndex] = c.largeBudget != nil && c.largeBudget.isKnown && c.largeBudget.slotsTaken(r.free, c.step.step.Need) > 0
--- a/core/tbassign/plan.go
+++ b/core/tbassign/plan.go
@@ -103,6 +103,8 @@
 	closedWorkers int
 	// candidates is reused for all steps to save allocations.
 	candidates candidates
+	// avoidedByClass holds the avoided workers of each class. It is nil until they are first needed.
+	avoidedByClass map[string]*avoidedWorkers
 	// held says what holds long-running tasks that have waited for long.
 	held []HeldTask
 }
--- a/core/tbassign/worker_state.go
+++ b/core/tbassign/worker_state.go
@@ -37,6 +37,8 @@
 	slowPenalty float64
 	// plannedRuns is the number of runs that the plan has placed on the worker.
 	plannedRuns int
+	// isAvoided is true for an avoided worker, which is not among the usable workers of its class.
+	isAvoided bool
 	// closed is true if the plan has placed a suspect of crashes on the worker, which gets no other task.
 	closed bool
 	// reserved is the reservation for a large task, or nil.
--- a/core/tbfleet/unusable.go
+++ b/core/tbfleet/unusable.go
@@ -92,6 +92,16 @@
 	return NotUnusable
 }
 
+// IsOnlyAvoided reports whether the worker may get no new task now for the sole reason that it is avoided after failed runs,
+// refused starts or runs without progress. A worker that lacks room or does not answer cannot take a task in any case.
+func (f *Fleet) IsOnlyAvoided(w *Worker, now time.Time) bool {
+	switch f.WhyUnusable(w, now) {
+	case AvoidedFailures, AvoidedRefusedStart, AvoidedStalledRun:
+		return !now.Before(w.ObservedUntil) && !f.hasOverdueStart(w, now)
+	}
+	return false
+}
+
 // avoid gives the worker no new tasks before a time, instead of the time that was set before.
 func (w *Worker) avoid(until time.Time, reason UnusableReason) {
 	w.AvoidUntil, w.avoidReason = until, reason
