Measure the time without progress on the worker's clock

Callers see that runs which are well are stopped and start again elsewhere, and that their workers are avoided for 3 s, after a pause of the leader. Cause: StalledRuns compared the times at which the leader handled two lists of a worker. Lists that wait at a paused leader look like a run without progress. Change: the fleet keeps the worker's clock (ClockMs) of the last list and of the last progress; Run.TimeWithoutProgress is the difference. ProgressAt is gone. It starts again when the worker restarts or its clock is behind that of the last list. Why it works: the worker's clock is steady, and it alone says when a list was made. TestDetectsStalledRun was wrong: its worker's clock stood at 1 ms through three polls 700 ms apart. The clock advances with the polls now; bounds and expectation are the same.

--- a/core/tbassign/assign_test.go
+++ b/core/tbassign/assign_test.go
@@ -336,10 +336,11 @@
 	b.planAndCommit()
 	w := b.fleet.Worker("w00")
 	ref := tbflow.TaskRef{Job: "s"}
+	begin := b.now
 	for range 3 {
 		b.now = b.now.Add(700 * time.Millisecond)
 		b.fleet.HandlePollAnswered(b.now, tbfleet.PollAnswered{
-			Worker: "w00", Incarnation: 1, ActualIncarnation: 1, Outcome: tbfleet.Accepted, SentAt: b.now, ClockMs: 1,
+			Worker: "w00", Incarnation: 1, ActualIncarnation: 1, Outcome: tbfleet.Accepted, SentAt: b.now, ClockMs: 1 + b.now.Sub(begin).Milliseconds(),
 			Running: []tbfleet.ListedRun{{Ref: ref, Run: 1, Progress: 30}},
 		})
 	}
--- a/core/tbassign/stall.go
+++ b/core/tbassign/stall.go
@@ -31,7 +31,7 @@
 	var stalled []tbflow.TaskRef
 	w.EachRun(func(ref tbflow.TaskRef, r *tbfleet.Run) {
 		j := s.Jobs[ref.Job]
-		if j == nil || r.Phase != tbfleet.RunExecuting || r.ProgressAt.IsZero() || r.Progress >= tbfleet.FullSpeed {
+		if j == nil || r.Phase != tbfleet.RunExecuting || r.Progress >= tbfleet.FullSpeed {
 			return
 		}
 		step := &j.Steps[ref.Step]
@@ -39,7 +39,7 @@
 		if step.LongRunning {
 			limit = longRunningStartTimeout
 		}
-		if r.ListedAt.Sub(r.ProgressAt) > limit {
+		if r.TimeWithoutProgress() > limit {
 			stalled = append(stalled, ref)
 		}
 	})
--- a/core/tbfleet/poll.go
+++ b/core/tbfleet/poll.go
@@ -301,10 +301,8 @@
 		if run.longRunning && r.Progress == startUpFinished && run.Progress < startUpFinished {
 			w.Failures = 0
 		}
-		if r.Progress != run.Progress || run.ProgressAt.IsZero() || run.Speed < FullSpeed || run.SpeedUnknown || run.speedUnconfirmed {
-			run.ProgressAt = now
-		}
-		run.Progress, run.Measurement, run.ListedAt = r.Progress, r.Measurement, now
+		run.noteProgress(r.Progress, a.ClockMs)
+		run.Measurement, run.ListedAt = r.Measurement, now
 		if r.Checkpoint != "" {
 			run.Checkpoint = r.Checkpoint
 		}
--- a/core/tbfleet/run.go
+++ b/core/tbfleet/run.go
@@ -15,15 +15,16 @@
 	Measurement int64
 	// ListedAt is when a poll answer last listed the run as running.
 	ListedAt time.Time
-	// ProgressAt is when the progress last changed. While the speed is below FullSpeed, unknown or
-	// unconfirmed, each poll answer that lists the run also sets ProgressAt, so that a slow run
-	// does not seem stalled.
-	ProgressAt time.Time
 	// Speed is the ordered speed in percent.
 	Speed int
 	// SpeedUnknown is true while an earlier leader may have ordered another speed.
 	SpeedUnknown bool
 
+	// progressMs is when the progress last changed, and listedMs when the run was last listed, on the clock of the worker, or 0.
+	// While the speed is below FullSpeed, unknown or unconfirmed, each poll answer that lists the run also sets progressMs, so
+	// that a slow run does not seem stalled.
+	progressMs int64
+	listedMs   int64
 	// speedSentAt is when the speed was last ordered.
 	speedSentAt time.Time
 	// speedUnconfirmed is true until the worker has confirmed the ordered speed.
--- a/core/tbfleet/run_time.go
+++ b/core/tbfleet/run_time.go
@@ -48,10 +48,25 @@
 	r.executingUntilMs = max(r.executingUntilMs, clockMs)
 }
 
+// noteProgress notes the progress of a run that a poll answer lists.
+func (r *Run) noteProgress(progress int, clockMs int64) {
+	if progress != r.Progress || r.progressMs == 0 || clockMs < r.listedMs || r.Speed < FullSpeed || r.SpeedUnknown || r.speedUnconfirmed {
+		r.progressMs = clockMs
+	}
+	r.Progress, r.listedMs = progress, clockMs
+}
+
+// TimeWithoutProgress returns for how long the worker has listed the run at full speed with the same progress, in the time of
+// the worker. A leader that handles poll answers late sees no progress meanwhile, although the run makes some.
+func (r *Run) TimeWithoutProgress() time.Duration {
+	return time.Duration(r.listedMs-r.progressMs) * time.Millisecond
+}
+
 // forgetRunTime forgets what is known of an execution, because the worker has restarted.
 func (r *Run) forgetRunTime() {
 	r.executingSinceMs, r.executingUntilMs, r.isConfirmed = 0, 0, false
 	r.earlierRunTime, r.timeBeforeTerm, r.acceptedAt = 0, 0, time.Time{}
+	r.progressMs, r.listedMs = 0, 0
 }
 
 // noteAccepted records when the worker is first known to have executed the run.
--- a/core/tbfleet/throttled_test.go
+++ b/core/tbfleet/throttled_test.go
@@ -26,6 +26,6 @@
 		}
 		fx.fleet.SetSpeed(fx.now, "w", fx.ref, tbfleet.FullSpeed)
 		run := fx.fleet.Worker("w").Run(fx.ref)
-		qt.Assert(t, run.ListedAt.Sub(run.ProgressAt) < time.Second, qt.IsTrue, qt.Commentf("%v", run.ListedAt.Sub(run.ProgressAt)))
+		qt.Assert(t, run.TimeWithoutProgress() < time.Second, qt.IsTrue, qt.Commentf("%v", run.TimeWithoutProgress()))
 	}
 }
