Let the test of plans of short steps avoid workers

Change: a quarter of the fixtures have workers that are avoided, so that short steps use them as a last resort in both plans; the check is the same.

--- a/core/tbassign/equivalence_test.go
+++ b/core/tbassign/equivalence_test.go
@@ -193,6 +193,9 @@
 				d.submitRandomJob()
 			}
 			d.endRandomRuns()
+			if seed%4 == 3 {
+				d.avoidRandomWorkers()
+			}
 			runs := Plan(d.now, d.state, d.fleet, d.learner, d.rebalancer, 1000)
 			short := PlanShortSteps(d.now, d.state, d.fleet, d.learner, d.rebalancer, 1000)
 			isPrefix := len(short) <= len(runs) && slices.Equal(short, runs[:len(short)])
