--- a/core/tbassign/reference_test.go
+++ b/core/tbassign/reference_test.go
@@ -38,6 +38,10 @@
 	rebalancer     *Rebalancer
 	workersByClass map[string][]*referenceWorker
 	workersByID    map[string]*referenceWorker
+	// avoidedByClass holds the avoided workers that the plan has given no task yet.
+	avoidedByClass map[string][]*referenceWorker
+	// onlyLongRunning is true for the classes whose avoided workers get long-running tasks only.
+	onlyLongRunning map[string]bool
 	// assignedMillicores is the demand of the best-effort tasks that were assigned before this
 	// plan, by class and image, in millicores.
 	assignedMillicores map[classImage]int64
@@ -74,12 +78,13 @@
 
 func newReferenceState(now time.Time, s *tbflow.State, f *tbfleet.Fleet, l *Learner, g *Rebalancer) *referenceState {
 	p := &referenceState{
-		state: s, learner: l, rebalancer: g, now: now, workersByClass: map[string][]*referenceWorker{}, workersByID: map[string]*referenceWorker{},
+		state: s, learner: l, rebalancer: g, now: now, workersByClass: map[string][]*referenceWorker{}, workersByID: map[string]*referenceWorker{}, avoidedByClass: map[string][]*referenceWorker{},
 		assignedMillicores: map[classImage]int64{},
 		severityCache:      newSeverityCache(l),
 	}
 	for _, w := range f.Workers() {
-		if !f.Usable(w, now) || s.IsEvacuated(w.DataCentre) {
+		isAvoided := f.IsOnlyAvoided(w, now)
+		if !f.Usable(w, now) && !isAvoided || s.IsEvacuated(w.DataCentre) {
 			continue
 		}
 		use := s.Usage(w.ID)
@@ -92,13 +97,20 @@
 				return
 			}
 			r.addTask(step, ref)
-			if step.BestEffort {
+			if step.BestEffort && !isAvoided {
 				p.assignedMillicores[classImage{w.Class, step.Image}] += step.Need.MilliProcessors
 			}
 		})
-		p.workersByClass[w.Class] = append(p.workersByClass[w.Class], r)
-		p.workersByID[w.ID] = r
+		workers := p.workersByClass[w.Class]
+		if isAvoided {
+			p.avoidedByClass[w.Class] = append(p.avoidedByClass[w.Class], r)
+		} else {
+			workers = append(workers, r)
+			p.workersByID[w.ID] = r
+		}
+		p.workersByClass[w.Class] = workers
 	}
+	p.keepAvoidedForLongRunning()
 	p.applyReservations()
 	assignedShortTasks := l.observeShortDemand(now, s, p.room, 1)
 	p.slotBudgets = map[string]*slotBudget{}
@@ -182,88 +194,6 @@
 	r.spreadCounts[step] += n
 }
 
-// place assigns as many tasks of a step as fit, but at most limit. A gang is assigned completely
-// or not at all.
-func (p *referenceState) place(w waitingStep, limit int) []tbflow.Assignment {
-	if w.step.Gang {
-		return p.placeGang(w, limit)
-	}
-	var plan []tbflow.Assignment
-	for _, ref := range w.taskRefs {
-		if len(plan) >= limit {
-			break
-		}
-		t := w.job.Task(ref)
-		r, reserved := p.claimReservation(w, ref, t)
-		if reserved && r == nil {
-			continue
-		}
-		if r == nil {
-			r = p.choose(w, t)
-		}
-		if r == nil {
-			// The tasks of a step differ only in the worker that they avoid. If this task avoids
-			// none, the search for a worker would fail for the other tasks too.
-			if t.LastFailedOn == "" {
-				break
-			}
-			continue
-		}
-		p.takeSlots(r, w, 1)
-		r.allocate(w)
-		plan = append(plan, tbflow.Assignment{Ref: ref, Run: t.Run + 1, Worker: r.worker.ID, Incarnation: r.worker.Incarnation})
-	}
-	return plan
-}
-
-// claimReservation returns the worker on which capacity is reserved for a task that is being
-// moved, and releases the reservation (see planState.claimReservation).
-func (p *referenceState) claimReservation(w waitingStep, ref tbflow.TaskRef, t *tbflow.Task) (*referenceWorker, bool) {
-	r := p.workersByID[p.rebalancer.reservedWorker(p.now, p.state, ref)]
-	if r == nil {
-		return nil, false
-	}
-	r.applyReservation(p.state, ref, -1)
-	switch {
-	case !w.step.Need.Fits(r.free):
-		r.applyReservation(p.state, ref, 1)
-		return nil, true
-	case !p.canPlace(r, w, t, len(p.workersByClass[w.job.WorkerClass])):
-		return nil, false
-	}
-	return r, true
-}
-
-// placeGang assigns all tasks of a gang, or none. All of them get the same run number.
-func (p *referenceState) placeGang(w waitingStep, limit int) []tbflow.Assignment {
-	tasks := w.job.Tasks[w.occurrence][w.stepIndex]
-	if len(w.taskRefs) < len(tasks) || len(w.taskRefs) > limit {
-		return nil
-	}
-	run := uint64(0)
-	for i := range tasks {
-		run = max(run, tasks[i].Run)
-	}
-	var plan []tbflow.Assignment
-	var assigned []*referenceWorker
-	w.startsInRoom = !p.keepsRoom(w)
-	for _, ref := range w.taskRefs {
-		r := p.choose(w, w.job.Task(ref))
-		if r == nil {
-			for _, r := range assigned {
-				r.release(w)
-				p.takeSlots(r, w, -1)
-			}
-			return nil
-		}
-		p.takeSlots(r, w, 1)
-		r.allocate(w)
-		assigned = append(assigned, r)
-		plan = append(plan, tbflow.Assignment{Ref: ref, Run: run + 1, Worker: r.worker.ID, Incarnation: r.worker.Incarnation})
-	}
-	return plan
-}
-
 // keepsRoom reports whether room may be kept from a step (see workerState.keepsRoomFrom).
 func (p *referenceState) keepsRoom(w waitingStep) bool {
 	if w.startsInRoom {
