Give only first starts a second until they time out

Cause: with a first timeout of a second for all orders, dead workers held the polls of a new leader for too long: TestDeadWorkersDoNotDelayPollsOfOtherWorkers failed (500 of 3,000 workers dead, the others were not all reached within 2 s). Change: only a start waits for the usual answer time of all workers, or a second, while its worker has not answered yet. A poll that times out too early is only repeated.

--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -88,7 +88,7 @@
 	f.trackStart(now, w, run, j.Steps[a.Ref.Step].BestEffort)
 	f.addOrder(Start{
 		Target: f.newTarget(w), Ref: a.Ref, Run: a.Run, Spec: j.Spec, Checkpoint: t.Checkpoint,
-		LeaseEndMs: f.renewLease(now, w), Timeout: f.orderTimeout(w),
+		LeaseEndMs: f.renewLease(now, w), Timeout: f.startTimeout(w),
 	})
 	f.reconcile(now, w)
 }
--- a/core/tbfleet/timeouts.go
+++ b/core/tbfleet/timeouts.go
@@ -33,21 +33,26 @@
 	return max(p.OrderTimeout, (p.Lease-max(p.maxPollWait(), p.renewalInterval()))/2)
 }
 
-// initialTimeout is the timeout of an order while no answer time is known, as in RFC 6298.
+// orderTimeout returns the timeout of an order to the worker, not counting the time for which it may hold a poll open.
+func (f *Fleet) orderTimeout(w *Worker) time.Duration {
+	return min(max(f.params.OrderTimeout, w.answers.bound(), w.backedOffTimeout), f.params.maxAnswerTime())
+}
+
+// initialTimeout is the timeout of a start while no answer time is known, as in RFC 6298.
 const initialTimeout = time.Second
 
-// orderTimeout returns the timeout of an order to the worker, not counting the time for which it may hold a poll open. Until
-// the worker has answered, it follows the usual answer time of all workers.
-func (f *Fleet) orderTimeout(w *Worker) time.Duration {
-	bound := w.answers.bound()
+// startTimeout returns the timeout of a start. A start that times out too early costs a run, so until the worker has answered,
+// the timeout also follows the usual answer time of all workers. A poll that times out too early is only repeated.
+func (f *Fleet) startTimeout(w *Worker) time.Duration {
+	timeout := f.orderTimeout(w)
 	switch {
 	case w.answers.smoothed > 0:
 	case f.answers.smoothed > 0:
-		bound = f.answers.bound()
+		timeout = max(timeout, f.answers.bound())
 	default:
-		bound = initialTimeout
+		timeout = max(timeout, initialTimeout)
 	}
-	return min(max(f.params.OrderTimeout, bound, w.backedOffTimeout), f.params.maxAnswerTime())
+	return min(timeout, f.params.maxAnswerTime())
 }
 
 // noteAnswerTime records how long an order to the worker took to be answered.
