Do not charge workers with starts that expired at their sender

Callers see workers without new tasks after a pause of the leader or of a relay. Change: only a start without a connection leaves its worker unreached; after a refusal as fenced, late or old there is a pause of 50 ms.

--- a/core/tbcontrol/leader_load_fake_test.go
+++ b/core/tbcontrol/leader_load_fake_test.go
@@ -547,7 +547,7 @@
 
 // refuseUnsent reports after the timeout of an order that it was not sent.
 func (s *loadSimulation) refuseUnsent(r *loadReplica, e tbcontrol.SendOrder) {
-	const cause = "no connection"
+	const cause = tbfleet.CauseConnectTimeout
 	switch o := e.Order.(type) {
 	case tbfleet.Start:
 		s.answerAfter(o.Timeout, r, tbcontrol.StartAnswered{Term: e.Term, Answer: tbfleet.StartAnswered{
--- a/core/tbfleet/network_fake_test.go
+++ b/core/tbfleet/network_fake_test.go
@@ -216,7 +216,9 @@
 // unsentAnswer returns the result of an order for which no connection was established.
 func unsentAnswer(c tbfleet.Order) any {
 	if _, ok := c.(tbfleet.Start); ok {
-		return failedAnswer(c, tbfleet.NotSent)
+		a := failedAnswer(c, tbfleet.NotSent).(tbfleet.StartAnswered)
+		a.Cause = tbfleet.CauseConnectTimeout
+		return a
 	}
 	return failedAnswer(c, tbfleet.Refused)
 }
--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -22,6 +22,8 @@
 	// failedStartBackoff is how long a worker is avoided after it has not answered a start, or has
 	// refused one for another reason than lack of room.
 	failedStartBackoff = 300 * time.Millisecond
+	// overtakenStartPause is how long a worker gets no new tasks after it has refused a start that was overtaken or delayed.
+	overtakenStartPause = 50 * time.Millisecond
 	// maxFailingJobs limits the memory of Fleet.firstFailedOn: the map is cleared before it exceeds
 	// this number of jobs.
 	maxFailingJobs = 4096
@@ -167,7 +169,9 @@
 		f.markReplaced(now, w)
 	case NotSent:
 		f.output.LogEvents = append(f.output.LogEvents, LogEvent{Message: "start not sent", Worker: w.ID, Ref: a.Ref, Run: a.Run, Detail: a.Cause})
-		w.unreachedAt = now
+		if IsUnsent(a.Cause) {
+			w.unreachedAt = now
+		}
 		f.proposeNeverRan(w, w.Incarnation, a.Ref, run)
 	case Unconfirmed:
 		f.output.LogEvents = append(f.output.LogEvents, LogEvent{Message: "start not answered", Worker: w.ID, Ref: a.Ref, Run: a.Run, Detail: a.Cause})
@@ -210,7 +214,9 @@
 	case CauseNoRoom:
 		w.avoid(now.Add(noRoomBackoff), AvoidedNoRoom)
 	case CauseFence, CauseLate, CauseOld:
-		// The order was overtaken or delayed on its way, which says nothing about the worker.
+		// The order was overtaken or delayed on its way, which says nothing about the worker. The pause bounds how often
+		// starts that are refused again and again are tried.
+		w.avoidLonger(now.Add(overtakenStartPause), AvoidedRefusedStart)
 	default:
 		w.avoidLonger(now.Add(failedStartBackoff), AvoidedRefusedStart)
 		f.addFailure(now, w, AvoidedRefusedStart)
@@ -248,7 +254,7 @@
 	CauseNoResult = "no result from the relay"
 )
 
-// IsUnsent reports whether the cause of a refused order is that no part of the order was sent.
+// IsUnsent reports whether the cause of an order that was not executed is that no connection to the worker was established.
 func IsUnsent(cause string) bool {
 	return cause == CauseConnectTimeout || cause == CauseConnectRefused || cause == CauseConnectFailed
 }
--- a/core/tbfleet/relays_test.go
+++ b/core/tbfleet/relays_test.go
@@ -67,3 +67,20 @@
 	qt.Check(t, f.Usable(f.Worker("a"), now), qt.IsTrue)
 	qt.Check(t, f.orderTimeout(f.Worker("a")), qt.Equals, f.params.OrderTimeout)
 }
+
+// A poll whose result a relay has lost may still be executed after a later start, and would then acknowledge ends that the
+// leader has not seen. Later orders have a higher token.
+func TestPollWithoutResultIsFencedOff(t *testing.T) {
+	f, s, now := newStartsFixture(t)
+	w := f.Worker("a")
+	answerStart(f, now, orderStart(f, s, now, 0, "a"), Accepted)
+	polls := takePolls(f)
+	qt.Assert(t, polls, qt.HasLen, 1)
+	w.ackInFlight = true
+	f.HandlePollAnswered(now, PollAnswered{Worker: "a", Incarnation: 1, LeaseEndMs: polls[0].LeaseEndMs, SentAt: now, Outcome: Unconfirmed, Cause: CauseNoResult})
+	now = now.Add(recheckPause)
+	f.Tick(now)
+	again := takePolls(f)
+	qt.Assert(t, again, qt.HasLen, 1)
+	qt.Check(t, again[0].Target.Token > polls[0].Target.Token, qt.IsTrue)
+}
--- a/core/tbfleet/unsent_starts_test.go
+++ b/core/tbfleet/unsent_starts_test.go
@@ -29,7 +29,7 @@
 			a := orderStart(f, s, now, task, "a")
 			task++
 			f.HandleStartAnswered(now.Add(400*time.Millisecond), StartAnswered{
-				Worker: "a", Incarnation: 1, Ref: a.Ref, Run: a.Run, Outcome: NotSent, Cause: "context deadline exceeded",
+				Worker: "a", Incarnation: 1, Ref: a.Ref, Run: a.Run, Outcome: NotSent, Cause: CauseConnectTimeout,
 			})
 		}
 		now = now.Add(400 * time.Millisecond)
@@ -41,3 +41,24 @@
 	}
 	qt.Check(t, f.Usable(f.Worker("a"), now), qt.IsTrue, qt.Commentf("avoided for %v", f.Worker("a").AvoidUntil.Sub(now)))
 }
+
+// A start that was not sent because the leader or a relay was suspended says nothing about its worker.
+func TestStartThatExpiredAtItsSenderDoesNotCountAgainstItsWorker(t *testing.T) {
+	f, s, now := newStartsFixture(t)
+	answerPollsAtOnce(f, now)
+	a := orderStart(f, s, now, 0, "a")
+	f.HandleStartAnswered(now, StartAnswered{Worker: "a", Incarnation: 1, Ref: a.Ref, Run: a.Run, Outcome: NotSent, Cause: "the order was issued too long ago"})
+	qt.Check(t, f.Usable(f.Worker("a"), now), qt.IsTrue)
+}
+
+// A worker that refuses each start as overtaken, delayed or old gets no stream of them.
+func TestOvertakenStartsAreNotRepeatedAtOnce(t *testing.T) {
+	for _, cause := range []string{CauseFence, CauseLate, CauseOld} {
+		f, s, now := newStartsFixture(t)
+		answerPollsAtOnce(f, now)
+		refusedStart(f, now, orderStart(f, s, now, 0, "a"), cause)
+		qt.Check(t, f.Usable(f.Worker("a"), now), qt.IsFalse)
+		qt.Check(t, f.Usable(f.Worker("a"), now.Add(overtakenStartPause)), qt.IsTrue)
+		qt.Check(t, f.Worker("a").Failures, qt.Equals, 0)
+	}
+}
