Play the simulated leaders side by side

Change: tests of the simulated leader run in parallel, since each has a simulation of its own; go test -race gets 30 minutes.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	go test ./platform -run '$(CROWD_TESTS)' -skip '$(KNOWN_RED)' -count 1 -v
 
 test-race: ## Run the tests of core, io and platform with the race detector, except those in KNOWN-RED.txt.
-	go test -race -skip '$(NOT_BESIDE_OTHERS)' ./core/... ./io/... ./platform/...
+	go test -race -timeout 30m -skip '$(NOT_BESIDE_OTHERS)' ./core/... ./io/... ./platform/...
 
 lint: words ## Check formatting, vet, staticcheck and the use of the platform's names.
 	@unformatted=$$(gofmt -l cmd core io platform test); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
--- a/core/tbcontrol/leader_load_admission_test.go
+++ b/core/tbcontrol/leader_load_admission_test.go
@@ -153,6 +153,7 @@
 		{1, 100 * time.Millisecond}, {1, 200 * time.Millisecond}, {4, 100 * time.Millisecond},
 	} {
 		t.Run(fmt.Sprintf("slowdown=%v,delay=%s", c.slowdown, c.workerDelay), func(t *testing.T) {
+			t.Parallel()
 			s, o := newSlowSimulation(t, 1, c.slowdown, c.workerDelay)
 			s.submitLoad(baseRates, 8*time.Second)
 			s.run(8 * time.Second)
@@ -174,7 +175,9 @@
 	for _, slowdown := range []float64{1, 2, 4, 6} {
 		for _, workerDelay := range []time.Duration{4 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond} {
 			seed++
+			seed := seed
 			t.Run(fmt.Sprintf("slowdown=%v,delay=%s,seed=%d", slowdown, workerDelay, seed), func(t *testing.T) {
+				t.Parallel()
 				s, o := newSlowSimulation(t, seed, slowdown, workerDelay)
 				// At a slowdown of 6, polls and reports alone take most of the leader's time, and callers that do not
 				// back off the rest.
@@ -205,6 +208,7 @@
 // A twentieth of the workers leaves a slow leader that has thousands of long-running tasks. These start again soon, and no
 // best-effort job stands, although about half of the workers' capacity is in use or on its way to be.
 func TestLongRunningTasksStartAgainSoonWhenStartsAreSlow(t *testing.T) {
+	t.Parallel()
 	s := newScheduledSimulation(t, 1, 1800, 4, tbassign.Features{PredictedAdmission: true, FairShares: true})
 	s.workerDelay = 200 * time.Millisecond
 	s.callersBackOff = true
@@ -226,6 +230,7 @@
 // Nine of ten workers take 400 ms to answer a start, however few starts are under way. A leader that has time does not
 // hold best-effort work back for that.
 func TestBestEffortWorkIsNotHeldBackByWorkersThatAnswerLate(t *testing.T) {
+	t.Parallel()
 	s, o := newSlowSimulation(t, 1, 1, 4*time.Millisecond)
 	for i, w := range s.workers {
 		if i%10 != 0 {
--- a/core/tbcontrol/leader_load_test.go
+++ b/core/tbcontrol/leader_load_test.go
@@ -57,6 +57,7 @@
 }
 
 func TestBurstOfBestEffortWorkIsNotThrottled(t *testing.T) {
+	t.Parallel()
 	s := newBusySimulation(t, 1800, busySlowdown)
 	since := s.now
 	s.submitLoad(baseRates.timesFill(1.7), 4*time.Second)
@@ -64,6 +65,7 @@
 }
 
 func TestBurstOnThreeThousandWorkersIsNotThrottled(t *testing.T) {
+	t.Parallel()
 	s := newBusySimulation(t, 3000, busySlowdown)
 	since := s.now
 	s.submitLoad(baseRates.timesFill(1.7), 4*time.Second)
@@ -72,6 +74,7 @@
 
 // A new leader has to poll all workers while the load goes on.
 func TestBestEffortWorkIsNotThrottledAfterTakeover(t *testing.T) {
+	t.Parallel()
 	s := newBusySimulation(t, 1800, busySlowdown)
 	s.leader().stopped = true
 	for s.leader() == nil {
@@ -85,6 +88,7 @@
 // Starts to silent workers are not under way, and after one overdue start a worker gets no others. Short jobs
 // with a task on such a worker are late: 508 of 1,800 workers become silent at once.
 func TestBestEffortWorkIsNotThrottledBySilentWorkers(t *testing.T) {
+	t.Parallel()
 	s := newBusySimulation(t, 1800, busySlowdown)
 	since := s.now
 	s.silence(508, 3*time.Second)
@@ -93,6 +97,7 @@
 }
 
 func TestBestEffortWorkIsNotThrottledByLostAnswers(t *testing.T) {
+	t.Parallel()
 	s := newBusySimulation(t, 1800, busySlowdown)
 	since := s.now
 	s.lostAnswers = 0.05
@@ -102,6 +107,7 @@
 
 // A leader whose processor is far too slow for the load keeps short jobs on time. Best-effort work waits.
 func TestBestEffortWorkWaitsFirstWhenTheLeaderIsTooSlow(t *testing.T) {
+	t.Parallel()
 	s := newBusySimulation(t, 1800, 2.5)
 	since := s.now
 	s.submitLoad(baseRates.timesFill(1.7), 4*time.Second)
@@ -132,6 +138,7 @@
 // On a leader whose events wait, polls of workers that are well are the first to become fewer. A leader with
 // time left saves nothing.
 func TestLeaderWhoseEventsWaitSavesPollsFirst(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct {
 		slowdown float64
 		saves    bool
@@ -150,6 +157,7 @@
 
 // A leader says once a second which workers may get tasks and what waits.
 func TestLeaderLogsASummaryOnceASecond(t *testing.T) {
+	t.Parallel()
 	s := newBusySimulation(t, 300, busySlowdown)
 	var lines []tbcontrol.Log
 	s.observe = logObserver(func(l tbcontrol.Log) {
--- a/core/tbcontrol/slow_machines_window_test.go
+++ b/core/tbcontrol/slow_machines_window_test.go
@@ -42,6 +42,7 @@
 // Guards against accepted best-effort jobs with nothing running beside idle workers: one answer in ten takes 4 ms and the
 // others 400 ms, whatever the leader does, and the window of best-effort starts stays closed.
 func TestBestEffortJobsDoNotStandOnMachinesThatAnswerSlowly(t *testing.T) {
+	t.Parallel()
 	const (
 		workers = 1800
 		period  = 20 * time.Millisecond
--- a/core/tbcontrol/unsent_starts_test.go
+++ b/core/tbcontrol/unsent_starts_test.go
@@ -27,6 +27,7 @@
 // Guards against jobs with nothing running because of connections to workers that were slow before: each start that was
 // not sent in time counted as a failure of its worker.
 func TestJobsStartOnceConnectionsToWorkersAreEstablishedAgain(t *testing.T) {
+	t.Parallel()
 	for _, outage := range []time.Duration{2500 * time.Millisecond, 4 * time.Second, 5 * time.Second, 6 * time.Second, 12 * time.Second} {
 		s := newLoadSimulation(t, 1, 300, busySlowdown)
 		const jobs, tasksPerJob = 50, 24
