Tell a paused sender from a connection that was not established

Cause: an order that had a connection, but whose process did not run in time to use it, had the cause connectFailed. Change: such an order has the cause senderPaused, which says nothing about the worker.

--- a/core/tbfleet/orders.go
+++ b/core/tbfleet/orders.go
@@ -242,6 +242,9 @@
 	CauseConnectRefused = "connectRefused"
 	// CauseConnectFailed is the cause of an order that was not sent for any other reason.
 	CauseConnectFailed = "connectFailed"
+	// CauseSenderPaused is the cause of an order that was not sent, because the sending process did not run in time. It says
+	// nothing about the worker.
+	CauseSenderPaused = "senderPaused"
 	// CauseTimeout is the cause of an unconfirmed order that was not answered in time.
 	CauseTimeout = "timeout"
 	// CauseStatus begins the other causes of a refusal, which have the status of the response and the reason in it, if
--- a/io/tbdaemon/adapter.go
+++ b/io/tbdaemon/adapter.go
@@ -8,12 +8,12 @@
 	"tamarackbarrow/core/tbfleet"
 )
 
-// MaxSendingTime is the longest time from a call of a WorkerTransport until no part of the order is sent any more, not
-// counting the time for which a worker may hold a poll open.
+// MaxSendingTime is the longest time from a call of a WorkerTransport until no part of the order is sent any more.
 const MaxSendingTime = 800 * time.Millisecond
 
 // WorkerTransport sends orders to the workers of an external platform. Each call blocks until the
-// worker answers or the order times out. It sends no part of the order later than MaxSendingTime. SentBefore in the answers is on the clock of Daemon.Now.
+// worker answers or the order times out. It sends no part of the order later than MaxSendingTime.
+// SentBefore in the answers is on the clock of Daemon.Now.
 //
 // Workers that announce themselves to an entry need no WorkerTransport. They get their orders in the
 // answers to their announcements and through WorkerService.
--- a/io/tbdaemon/order_counters.go
+++ b/io/tbdaemon/order_counters.go
@@ -50,7 +50,7 @@
 func causeName(cause string) string {
 	switch cause {
 	case tbfleet.CauseNoRoom, tbfleet.CauseFence, tbfleet.CauseLate, tbfleet.CauseOld, tbfleet.CauseDisconnected, tbfleet.CauseTimeout,
-		tbfleet.CauseConnectTimeout, tbfleet.CauseConnectRefused, tbfleet.CauseConnectFailed:
+		tbfleet.CauseConnectTimeout, tbfleet.CauseConnectRefused, tbfleet.CauseConnectFailed, tbfleet.CauseSenderPaused:
 		return cause
 	case causeExpired:
 		return "expired"
