Use the field's terms for starved jobs and for orders of speed

Cause: the new code named jobs that have nothing running by a word of the users' report (stand), and counted orders of speed by the name of the platform's path (pace). Change: starvation.go, placeStarved, starvedSinceMs, maxStarvationMs; the counters are orders.speed.*.

--- a/core/tbassign/plan.go
+++ b/core/tbassign/plan.go
@@ -39,7 +39,7 @@
 	sharesWindow := false
 	for _, step := range steps {
 		if isWindowed(step.step) && !sharesWindow {
-			plan.windowedRuns, sharesWindow = p.placeStanding(plan, steps, limit), true
+			plan.windowedRuns, sharesWindow = p.placeStarved(plan, steps, limit), true
 		}
 		n := limit.runs - len(plan.Runs)
 		if isWindowed(step.step) {
--- a/core/tbassign/reference_standing_test.go
+++ b/core/tbassign/reference_starvation_test.go
@@ -6,8 +6,8 @@
 	"tamarackbarrow/core/tbflow"
 )
 
-// placeStanding places one task of each best-effort step whose job stands (see planState.placeStanding), at most limit.
-func (p *referenceState) placeStanding(steps []waitingStep, window, limit int) []tbflow.Assignment {
+// placeStarved places one task of each best-effort step whose job stands (see planState.placeStarved), at most limit.
+func (p *referenceState) placeStarved(steps []waitingStep, window, limit int) []tbflow.Assignment {
 	waiting := 0
 	var standing []*waitingStep
 	for i := range steps {
--- a/core/tbassign/reference_test.go
+++ b/core/tbassign/reference_test.go
@@ -19,7 +19,7 @@
 	firstWindowed := slices.IndexFunc(steps, func(w waitingStep) bool { return isWindowed(w.step) })
 	for i := range steps {
 		if i == firstWindowed {
-			plan = append(plan, state.placeStanding(steps, limit, limit-len(plan))...)
+			plan = append(plan, state.placeStarved(steps, limit, limit-len(plan))...)
 		}
 		if len(plan) >= limit {
 			break
--- a/core/tbassign/standing.go
+++ b/core/tbassign/starvation.go
@@ -8,38 +8,37 @@
 )
 
 // While the start window limits best-effort work, steps that start first take all starts for as many tasks as they have.
-// A job behind many wide ones would then have nothing running for long, although the class has room. A job that stands
+// A job behind many wide ones would then be starved: it has nothing running for long, although the class has room. A starved job
 // therefore gets one start before other best-effort work.
 
-// maxWindowedStandMs is how long, in milliseconds, the window may keep a job that stands from its start. A start takes a
-// while to reach its worker when the leader is slow, so that half of the time is left that the users' contract
-// tolerates from headroomWaitMs on.
-const maxWindowedStandMs = headroomWaitMs * 3 / 2
+// maxStarvationMs is how long, in milliseconds, the window may starve a job. A start takes a while to reach its worker when
+// the leader is slow, so it is made well before the job has had nothing running for twice headroomWaitMs.
+const maxStarvationMs = headroomWaitMs * 3 / 2
 
-// placeStanding adds a run of each best-effort step whose job stands, while the window limits the plan, those that have
-// stood for longest first. It returns the number of runs, which is more than the window if jobs have stood for
-// maxWindowedStandMs.
-func (p *planState) placeStanding(plan *PlannedRuns, steps []*waitingStep, limit planLimit) int {
+// placeStarved adds a run of each best-effort step whose job is starved, while the window limits the plan, those that have
+// been starved for longest first. It returns the number of runs, which is more than the window if jobs have been starved for
+// maxStarvationMs.
+func (p *planState) placeStarved(plan *PlannedRuns, steps []*waitingStep, limit planLimit) int {
 	if !windowLimits(steps, limit.bestEffort) {
 		return 0
 	}
-	type standingStep struct {
+	type starvedStep struct {
 		*waitingStep
 		sinceMs int64
 	}
-	var standing []standingStep
+	var starved []starvedStep
 	for _, w := range steps {
 		if !isWindowed(w.step) || p.isShortOfRoom(w.job.WorkerClass) || hasAssignedTasks(w.job, w.occurrence) {
 			continue
 		}
-		if sinceMs := standingSinceMs(w); p.nowMs-sinceMs > headroomWaitMs {
-			standing = append(standing, standingStep{w, sinceMs})
+		if sinceMs := starvedSinceMs(w); p.nowMs-sinceMs > headroomWaitMs {
+			starved = append(starved, starvedStep{w, sinceMs})
 		}
 	}
-	slices.SortStableFunc(standing, func(a, b standingStep) int { return cmp.Compare(a.sinceMs, b.sinceMs) })
+	slices.SortStableFunc(starved, func(a, b starvedStep) int { return cmp.Compare(a.sinceMs, b.sinceMs) })
 	placed := 0
-	for _, w := range standing {
-		if len(plan.Runs) >= limit.runs || placed >= limit.bestEffort && p.nowMs-w.sinceMs <= maxWindowedStandMs {
+	for _, w := range starved {
+		if len(plan.Runs) >= limit.runs || placed >= limit.bestEffort && p.nowMs-w.sinceMs <= maxStarvationMs {
 			break
 		}
 		runs := p.place(w.waitingStep, 1)
@@ -71,7 +70,7 @@
 
 // isShortOfRoom reports whether at least half of a class is in use and the room may be what keeps work waiting. It is
 // not if the window has kept the last full plan from more runs. Tasks on their way to a worker count as in use, so that
-// the users' contract may see much room where the leader does not.
+// the class may have much room where the leader sees none.
 func (p *planState) isShortOfRoom(class string) bool {
 	use := p.classUse[class]
 	return use == nil || use.keepsRoom() && !p.learner.startRate.isLimiting
@@ -87,9 +86,9 @@
 	return false
 }
 
-// standingSinceMs returns since when an occurrence without assigned tasks has had nothing running, as far as the times
+// starvedSinceMs returns since when an occurrence without assigned tasks has had nothing running, as far as the times
 // of its tasks tell: since the step's first task waits, or at the earliest since the last assignment.
-func standingSinceMs(w *waitingStep) int64 {
+func starvedSinceMs(w *waitingStep) int64 {
 	refs := w.waitingTasks()
 	if len(refs) == 0 {
 		return w.job.DueMs(w.occurrence)
--- a/core/tbassign/standing_test.go
+++ b/core/tbassign/starvation_test.go
@@ -68,8 +68,8 @@
 	p := newPlanState(b.now, b.state, b.fleet, b.learner, b.rebalancer, steps)
 	p.addWorkloads()
 	var plan PlannedRuns
-	qt.Check(t, p.placeStanding(&plan, steps, planLimit{runs: maxRunsPerPlan, bestEffort: 800}), qt.Equals, 0)
-	qt.Check(t, p.placeStanding(&plan, steps, planLimit{runs: maxRunsPerPlan, bestEffort: 799}), qt.Equals, 20)
+	qt.Check(t, p.placeStarved(&plan, steps, planLimit{runs: maxRunsPerPlan, bestEffort: 800}), qt.Equals, 0)
+	qt.Check(t, p.placeStarved(&plan, steps, planLimit{runs: maxRunsPerPlan, bestEffort: 799}), qt.Equals, 20)
 }
 
 // A job whose only run has just ended has nothing running, but has not stood for long.
@@ -87,7 +87,7 @@
 // A leader that has hardly any time makes a few starts a second. Jobs that have stood for most of the time that the
 // users' contract tolerates get one start each all the same, and then the window holds again.
 func TestWindowDoesNotKeepJobsStanding(t *testing.T) {
-	b := newWideJobs(t, 100, maxWindowedStandMs*time.Millisecond)
+	b := newWideJobs(t, 100, maxStarvationMs*time.Millisecond)
 	qt.Check(t, b.startedJobs(8), qt.HasLen, 8)
 	b.advance(time.Millisecond)
 	started := b.startedJobs(2)
--- a/io/tbdaemon/order_counters.go
+++ b/io/tbdaemon/order_counters.go
@@ -24,7 +24,7 @@
 	case tbfleet.Stop:
 		return "stop"
 	case tbfleet.SetSpeed:
-		return "pace"
+		return "speed"
 	}
 	return "poll"
 }
--- a/io/tbdaemon/order_counters_test.go
+++ b/io/tbdaemon/order_counters_test.go
@@ -37,7 +37,7 @@
 		{"orders.stop.unanswered.timeout", tbfleet.Stop{}, tbcodec.OrderResult{Cause: tbfleet.CauseTimeout}},
 		{"orders.poll.refused.fence", tbfleet.Poll{}, tbcodec.OrderResult{Outcome: tbfleet.Refused, Cause: tbfleet.CauseFence}},
 		{"orders.poll.otherWorker", tbfleet.Poll{}, tbcodec.OrderResult{Outcome: tbfleet.OtherWorker}},
-		{"orders.pace.accepted", tbfleet.SetSpeed{}, tbcodec.OrderResult{Outcome: tbfleet.Accepted}},
+		{"orders.speed.accepted", tbfleet.SetSpeed{}, tbcodec.OrderResult{Outcome: tbfleet.Accepted}},
 	} {
 		d := &Daemon{counters: newCounters(&tbpeer.Traffic{})}
 		d.countOrder(test.order, test.r)
